--- /dev/null
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -0,0 +1,387 @@
+//! Decodes wire lines into calls on the instances and encodes what they return.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::rc::Rc;
+
+use flaxdeck::brain::Brain;
+use flaxdeck::words::*;
+use serde_json::{Value, json};
+
+use crate::fields::Fields;
+
+#[derive(Debug)]
+pub enum Fault {
+    /// The line makes no sense on the wire; it is passed over.
+    Input(String),
+    Output(io::Error),
+}
+
+impl From<String> for Fault {
+    fn from(what: String) -> Fault {
+        Fault::Input(what)
+    }
+}
+
+impl From<io::Error> for Fault {
+    fn from(error: io::Error) -> Fault {
+        Fault::Output(error)
+    }
+}
+
+/// One instance, with the names that its start gave to numbers.
+struct Seat {
+    brain: Brain,
+    workloads: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+    parent_kind: Option<usize>,
+    origin_kind: Option<usize>,
+}
+
+/// All instances of this process and the numbered lists, which belong to none.
+#[derive(Default)]
+pub struct Desk {
+    seats: BTreeMap<String, Seat>,
+    sheets: BTreeMap<u64, Rc<Vec<Value>>>,
+    /// The batch's clock, while a batch is open.
+    now: Option<Time>,
+    /// Reply lines, as the events bring them about.
+    reply: Vec<Value>,
+}
+
+impl Desk {
+    /// Takes one line; writes and flushes a reply when the line ends a batch.
+    pub fn take(&mut self, line: &[u8], output: &mut impl Write) -> Result<(), Fault> {
+        let value: Value = serde_json::from_slice(line).map_err(|error| format!("not JSON: {error}"))?;
+        let fields = Fields::of(&value, "the message")?;
+        let name = fields.text("event_type")?;
+        match name {
+            "Mark" => {
+                let now = fields.time("sim_time_ms")?;
+                if self.now.replace(now).is_some() {
+                    return Err(Fault::Input("Mark inside a batch: the clock is set anew".into()));
+                }
+            }
+            "EofBatch" => {
+                if self.now.take().is_none() {
+                    return Err(Fault::Input("EofBatch without a Mark".into()));
+                }
+                for action in self.reply.drain(..) {
+                    serde_json::to_writer(&mut *output, &action).map_err(io::Error::from)?;
+                    output.write_all(b"\n")?;
+                }
+                output.write_all(b"{\"event_type\":\"End\"}\n")?;
+                output.flush()?;
+            }
+            _ => {
+                let now = self.now.ok_or_else(|| format!("{name} outside a batch"))?;
+                self.event(name, &fields, now).map_err(|fault| format!("{name}: {fault}"))?;
+            }
+        }
+        Ok(())
+    }
+
+    fn event(&mut self, name: &str, fields: &Fields, now: Time) -> Result<(), String> {
+        if name == "Directory" {
+            let rows = fields.rows("elements")?;
+            self.sheets.insert(fields.whole("sheet")?, Rc::new(rows.clone()));
+            return Ok(());
+        }
+        const KNOWN: [&str; 10] = [
+            "Launch",
+            "Destroy",
+            "Endpoints",
+            "Accept",
+            "Resolved",
+            "Outdated",
+            "Elapsed",
+            "Dropped",
+            "Started",
+            "CheckResult",
+        ];
+        if !KNOWN.contains(&name) && name != "Whisper" {
+            return Err("unknown event".into());
+        }
+        let who = fields.text("who")?;
+        if name == "Launch" {
+            let (seat, decisions) = Seat::launch(fields, now)?;
+            self.seats.insert(who.to_owned(), seat);
+            encode(who, now, decisions, &mut self.reply);
+            return Ok(());
+        }
+        if name == "Destroy" {
+            return match self.seats.remove(who) {
+                Some(_) => Ok(()),
+                None => Err(format!("{who} was never started")),
+            };
+        }
+        let seat = self.seats.get_mut(who).ok_or_else(|| format!("{who} was never started"))?;
+        let decisions = match name {
+            "Endpoints" => {
+                let coverage = match fields.text("how")? {
+                    "Partial" => Coverage::Changes,
+                    "Complete" | "Persisted" => Coverage::Whole,
+                    "Error" => return Ok(()),
+                    other => return Err(format!("unknown kind of list {other}")),
+                };
+                let number = fields.whole("sheet")?;
+                let rows = self.sheets.get(&number).ok_or_else(|| format!("list {number} was never sent"))?;
+                let listed = seat.listed(rows)?;
+                seat.brain.list(now, coverage, listed)
+            }
+            "Accept" => {
+                let pull = seat.pull(fields)?;
+                seat.brain.pull(now, pull)
+            }
+            "Resolved" => {
+                let ended = ended(fields)?;
+                seat.brain.hand_off_ended(now, ended)
+            }
+            "Outdated" => {
+                let object = fields.whole_or_none("key")?.filter(|key| *key != 0).map(ObjectId);
+                let group = GroupId(fields.whole("family_id")?);
+                let made = now - fields.span_or_zero("how_old_ms")?;
+                seat.brain.purge(now, object, group, made)
+            }
+            "Elapsed" => {
+                fields.whole("ctx")?;
+                seat.brain.wake(now)
+            }
+            "Dropped" => seat.brain.client_left(now, PullId(fields.whole("request_id")?)),
+            // Streamed answers, probes and messages are never asked for here: nothing follows from them.
+            _ => return Ok(()),
+        };
+        encode(who, now, decisions, &mut self.reply);
+        Ok(())
+    }
+}
+
+fn place(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|known| known == name)
+}
+
+fn kind_place(number: Option<f64>) -> Option<usize> {
+    number.filter(|place| *place >= 0.0).map(|place| place as usize)
+}
+
+impl Seat {
+    fn launch(fields: &Fields, now: Time) -> Result<(Seat, Decisions), String> {
+        let seed = fields.whole("entropy")?;
+        let params = fields.inner("params")?;
+        let family = params.inner("family_info")?;
+        let allowed = params.inner("allowed")?;
+        let rules = params.inner("rules")?;
+        let prices = params.inner("prices")?;
+        let zones = params.texts("zones")?;
+        let kinds = params.texts("kinds")?;
+        let zone = params.text("zone")?;
+        let zone = place(&zones, zone).ok_or_else(|| format!("zone {zone} is not among the zones"))?;
+        let dispatchers = params.number_or("group_size", 1.0)? as u32;
+        let report = params.get("stats").map(|stats| Fields::of(stats, "stats")).transpose()?;
+        let report = match report {
+            Some(stats) if stats.text_or_none("via")? == Some("inline") => stats.texts("fields")?,
+            _ => Vec::new(),
+        };
+        let classes = params.rows("request_classes")?;
+        let (parted, through) = (family.flags("class_parts")?, family.flags("goes_through")?);
+        let (fresh, older) = (family.numbers("max_age_ms")?, family.numbers("older_by_ms")?);
+        let aged = family.numbers("aged_worth")?;
+        let mut names = Vec::new();
+        let mut workloads = Vec::new();
+        for (at, class) in classes.iter().enumerate() {
+            let class = Fields::of(class, "a request class")?;
+            names.push(class.text("name")?.to_owned());
+            workloads.push(Workload {
+                promised: class.span("objective_ms")?,
+                stretch: class.number_or("aim_stretch", 0.0)?,
+                hard_stop: class.span("deadline_ms")?,
+                repeats: repeats(&class)?,
+                gain: class.number_or("worth", 1.0)?,
+                late_gain: class.number_or("late_value", 0.0)?,
+                goes_through: through.get(at).copied().unwrap_or(false),
+                parted: parted.get(at).copied().unwrap_or(false),
+                fresh: Span::of_ms(fresh.get(at).copied().unwrap_or(0.0)),
+                older_by: Span::of_ms(older.get(at).copied().unwrap_or(0.0)),
+                aged_gain: aged.get(at).copied().unwrap_or(0.0),
+            });
+        }
+        let parent_kind = kind_place(family.number_or_none("shield_kind")?);
+        let terms = Terms {
+            workloads,
+            zone: ZoneId(zone),
+            zone_dispatchers: family.numbers("count_by_zone")?.iter().map(|n| *n as u32).collect(),
+            dispatchers,
+            tick: params.span("tick_ms")?,
+            answer_slack: rules.span_or_zero("answer_slack_ms")?,
+            may_cancel: allowed.flag_or_false("cancel")?,
+            may_duplicate: allowed.flag_or_false("may_duplicate")?,
+            may_name_return: allowed.flag_or_false("retry_after")?,
+            longest_return: allowed.span_or_zero("max_retry_after_ms")?,
+            most_hand_offs: allowed.number("max_attempts")? as u32,
+            connect_limit: allowed.span_or_zero("connect_timeout_ms")?,
+            cold_from: rules.number("cold_from")?,
+            warm_within: rules.span("warm_within_ms")?,
+            overload_factor: rules.number("overload_factor")?,
+            fall_window: rules.span("fall_ms")?,
+            parent_cold_from: family.number_or("upper_cold_from", 0.0)?,
+            parent_warm_within: family.span_or_zero("upper_cold_ms")?,
+            parent_overload_factor: family.number_or("upper_fall_multiple", 0.0)?,
+            has_parents: parent_kind.is_some(),
+            direct: family.flag_or_false("direct")?,
+            joins: family.flag_or_false("collapses")?,
+            neighbours: match family.text_or_none("neighbours")? {
+                Some("any") => Neighbours::Any,
+                Some("location") => Neighbours::Location,
+                Some("off") | None => Neighbours::Off,
+                Some(other) => return Err(format!("unknown neighbours {other}")),
+            },
+            client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
+            origin_fall_multiple: family.number_or("origin_fall_multiple", 0.0)?,
+            origin_fall_window: family.span_or_zero("origin_fall_ms")?,
+            purge_grace: family.span_or_zero("purge_grace_ms")?,
+            purge_settles: family.span_or_zero("purge_settles_ms")?,
+            load_in_hand: place(&report, "outstanding"),
+            load_busy: place(&report, "utilization"),
+            load_link: place(&report, "x1"),
+            waste_price: prices.number_or("waste", 0.0)?,
+            late_price: prices.number_or("late_fail", 0.0)?,
+            origin_price: prices.number_or("origin", 0.0)?,
+            inlet_price: family.number_or("inlet_cost", 0.0)?,
+        };
+        let (brain, decisions) = Brain::start(now, seed, terms);
+        let origin_kind = kind_place(family.number_or_none("source_kind")?);
+        Ok((Seat { brain, workloads: names, zones, kinds, parent_kind, origin_kind }, decisions))
+    }
+
+    fn listed(&self, rows: &[Value]) -> Result<Vec<Listed>, String> {
+        rows.iter().map(|row| self.listed_one(&Fields::of(row, "a list entry")?)).collect()
+    }
+
+    fn listed_one(&self, row: &Fields) -> Result<Listed, String> {
+        let kind = row.text_or_none("shape")?.and_then(|shape| place(&self.kinds, shape));
+        let role = match kind {
+            Some(kind) if Some(kind) == self.parent_kind => Role::Parent,
+            Some(kind) if Some(kind) == self.origin_kind => Role::Origin,
+            _ => Role::Cache,
+        };
+        let standing = match row.text("mode")? {
+            "in_service" => Standing::InService,
+            "terminating" => Standing::Draining,
+            "terminated" => Standing::Gone,
+            other => return Err(format!("unknown mode {other}")),
+        };
+        let zone = row.text_or_none("region_part")?.and_then(|zone| place(&self.zones, zone));
+        Ok(Listed {
+            host: HostId(row.text("host")?.into()),
+            weight: row.number_or("heft", 1.0)?,
+            zone: zone.map(ZoneId),
+            cell: CellId(row.whole_or_none("cluster")?.unwrap_or(0)),
+            role,
+            standing,
+            started: row.number_or_none("boot_time_ms")?.filter(|ms| *ms > 0.0).map(Time::at_ms),
+        })
+    }
+
+    fn pull(&self, fields: &Fields) -> Result<Pull, String> {
+        let name = fields.text("qos")?;
+        let workload = place(&self.workloads, name).ok_or_else(|| format!("unknown class {name}"))?;
+        Ok(Pull {
+            id: PullId(fields.whole("request_id")?),
+            workload: WorkloadId(workload),
+            object: ObjectId(fields.whole_or_none("key")?.unwrap_or(0)),
+            part: fields.whole_or_none("slice")?.unwrap_or(0),
+            group: GroupId(fields.whole_or_none("set_no")?.unwrap_or(0)),
+            size_kb: fields.number_or_none("bytes_k")?.filter(|kb| *kb > 0.0),
+            hard_stop: fields.time("expires_ms")?,
+        })
+    }
+}
+
+fn repeats(class: &Fields) -> Result<Repeats, String> {
+    Ok(match class.text("effect")? {
+        "idempotent" => Repeats::Reissuable,
+        "at_most_once" => Repeats::AtMostOnce,
+        "deduplicated" => Repeats::Numbered {
+            scope: match class.text_or_none("key_scope")? {
+                Some("all") => Scope::All,
+                Some("zone") => Scope::Zone,
+                Some("cell") => Scope::Cell,
+                other => return Err(format!("unknown key_scope {other:?}")),
+            },
+            remembered: class.span("memory_span_ms")?,
+        },
+        other => return Err(format!("unknown effect {other}")),
+    })
+}
+
+fn ended(fields: &Fields) -> Result<Ended, String> {
+    Ok(Ended {
+        pull: PullId(fields.whole("request_id")?),
+        leg: Leg(fields.whole("leg")? as u32),
+        host: HostId(fields.text("host")?.into()),
+        ending: match fields.text("reason")? {
+            "S" => Ending::Answered,
+            "E" => Ending::Errored,
+            "F" => Ending::TurnedAway,
+            "T" => Ending::TimedOut,
+            "C" => Ending::NotConnected,
+            "R" => Ending::Broken,
+            "X" => Ending::Cancelled,
+            "N" => Ending::NotSent,
+            "M" => Ending::NoCopy,
+            other => return Err(format!("unknown outcome {other}")),
+        },
+        took: fields.span_or_zero("latency_ms")?,
+        closed: fields.flag_or_false("no_more")?,
+        told: match fields.whole_or_none("detail")?.unwrap_or(0) {
+            1 => Told::Held,
+            2 => Told::Filled,
+            3 => Told::FilledThroughOrigin,
+            4 => Told::Joined,
+            5 => Told::Aged,
+            6 => Told::SourceRefused,
+            7 => Told::SourceUnreached,
+            8 => Told::SourceLacks,
+            9 => Told::NoPlace,
+            10 => Told::OriginFailed,
+            _ => Told::Nothing,
+        },
+        waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
+        load: fields.numbers("stats")?,
+    })
+}
+
+fn encode(who: &str, now: Time, decisions: Decisions, reply: &mut Vec<Value>) {
+    for cancel in decisions.cancels {
+        reply.push(json!({"event_type": "UndoSend", "who": who, "request_id": cancel.pull.0,
+            "leg": cancel.leg.0}));
+    }
+    for sent in decisions.hand_offs {
+        let bits = u8::from(sent.join) + 4 * u8::from(sent.unkept_at_parent) + 8 * u8::from(sent.renew);
+        let mut action = json!({"event_type": "Obtain", "who": who, "request_id": sent.pull.0,
+            "host": &*sent.host.0, "miss_from": &*sent.source.0, "allow_for_ms": sent.allow.ms(),
+            "bits": bits, "keep": sent.keep});
+        if let Some(oldest) = sent.oldest {
+            action["how_old_ms"] = json!(oldest.ms());
+        }
+        reply.push(action);
+    }
+    for last in decisions.finals {
+        reply.push(match last {
+            Final::Bounced { pull, come_back } => {
+                let mut action = json!({"event_type": "PushBack", "who": who, "request_id": pull.0});
+                if let Some(come_back) = come_back {
+                    action["come_back_ms"] = json!(come_back.ms());
+                }
+                action
+            }
+            Final::Forfeited { pull } => {
+                json!({"event_type": "ReportFailure", "who": who, "request_id": pull.0})
+            }
+        });
+    }
+    if let Some(at) = decisions.wake {
+        reply.push(json!({"event_type": "WakeMe", "who": who, "after_ms": at.since(now).ms(), "ctx": 0}));
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! flaxdeck: which cache gets a pull, which source fills a miss, and when to stop trying.
+//!
+//! [`brain::Brain`] holds every decision of one dispatcher; [`words`] holds the plain types that
+//! go in and come out.
+
+pub mod brain;
+pub mod words;
--- /dev/null
+++ b/src/words.rs
@@ -0,0 +1,323 @@
+//! The words that callers and the brain share: points in time, spans, ids, the facts that go in
+//! and the decisions that come out. Nothing here decides.
+
+use std::ops::{Add, Mul, Sub};
+use std::rc::Rc;
+
+/// A point in time, in microseconds of the caller's clock.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Time(u64);
+
+/// A length of time, in microseconds; never negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Span(u64);
+
+impl Time {
+    pub fn at_ms(ms: f64) -> Time {
+        Time((ms.max(0.0) * 1000.0).round() as u64)
+    }
+    pub fn ms(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+    /// How long `earlier` lies back; zero if it does not.
+    pub fn since(self, earlier: Time) -> Span {
+        Span(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Span {
+    pub const ZERO: Span = Span(0);
+    pub const fn from_ms(ms: u64) -> Span {
+        Span(ms * 1000)
+    }
+    pub fn of_ms(ms: f64) -> Span {
+        Span((ms.max(0.0) * 1000.0).round() as u64)
+    }
+    pub fn ms(self) -> f64 {
+        self.0 as f64 / 1000.0
+    }
+    pub fn less(self, other: Span) -> Span {
+        Span(self.0.saturating_sub(other.0))
+    }
+}
+
+impl Add<Span> for Time {
+    type Output = Time;
+    fn add(self, span: Span) -> Time {
+        Time(self.0.saturating_add(span.0))
+    }
+}
+
+impl Sub<Span> for Time {
+    type Output = Time;
+    fn sub(self, span: Span) -> Time {
+        Time(self.0.saturating_sub(span.0))
+    }
+}
+
+impl Add for Span {
+    type Output = Span;
+    fn add(self, other: Span) -> Span {
+        Span(self.0.saturating_add(other.0))
+    }
+}
+
+impl Mul<f64> for Span {
+    type Output = Span;
+    fn mul(self, by: f64) -> Span {
+        Span((self.0 as f64 * by.max(0.0)) as u64)
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PullId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ObjectId(pub u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct GroupId(pub u64);
+/// A place in [`Terms::workloads`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct WorkloadId(pub usize);
+/// A place in [`Terms::zone_dispatchers`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ZoneId(pub usize);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct CellId(pub u64);
+/// The number of a hand-off within its pull, counted from 0.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Leg(pub u32);
+/// A host's address, the same at every dispatcher.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct HostId(pub Rc<str>);
+
+/// Whether a pull may run again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Repeats {
+    Reissuable,
+    /// Repeats are dropped by the hosts of the scope, for so long after the first hand-off.
+    Numbered {
+        scope: Scope,
+        remembered: Span,
+    },
+    AtMostOnce,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Scope {
+    All,
+    Zone,
+    Cell,
+}
+
+/// What is known of a workload before its first pull.
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub promised: Span,
+    /// The promised time grows by this multiple of the pull's sending time.
+    pub stretch: f64,
+    pub hard_stop: Span,
+    pub repeats: Repeats,
+    pub gain: f64,
+    pub late_gain: f64,
+    /// Runs at the origin and is never kept.
+    pub goes_through: bool,
+    pub parted: bool,
+    /// How long a copy is fresh; zero if it is until it is purged.
+    pub fresh: Span,
+    /// How much older than fresh a copy may be when asked for.
+    pub older_by: Span,
+    pub aged_gain: f64,
+}
+
+/// Which caches may be the source of a fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Neighbours {
+    Off,
+    Location,
+    Any,
+}
+
+/// What an instance is handed at start.
+#[derive(Clone, Debug)]
+pub struct Terms {
+    pub workloads: Vec<Workload>,
+    pub zone: ZoneId,
+    /// Dispatchers in each zone, and in all.
+    pub zone_dispatchers: Vec<u32>,
+    pub dispatchers: u32,
+    pub tick: Span,
+    pub answer_slack: Span,
+    pub may_cancel: bool,
+    pub may_duplicate: bool,
+    pub may_name_return: bool,
+    pub longest_return: Span,
+    pub most_hand_offs: u32,
+    pub connect_limit: Span,
+    pub cold_from: f64,
+    pub warm_within: Span,
+    pub overload_factor: f64,
+    pub fall_window: Span,
+    pub parent_cold_from: f64,
+    pub parent_warm_within: Span,
+    pub parent_overload_factor: f64,
+    pub has_parents: bool,
+    pub direct: bool,
+    pub joins: bool,
+    pub neighbours: Neighbours,
+    pub client_kb_per_s: f64,
+    pub origin_fall_multiple: f64,
+    pub origin_fall_window: Span,
+    pub purge_grace: Span,
+    pub purge_settles: Span,
+    /// Places of the load report's figures in [`Ended::load`].
+    pub load_in_hand: Option<usize>,
+    pub load_busy: Option<usize>,
+    pub load_link: Option<usize>,
+    pub waste_price: f64,
+    pub late_price: f64,
+    pub origin_price: f64,
+    pub inlet_price: f64,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Role {
+    Cache,
+    Parent,
+    Origin,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    InService,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of hosts.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    pub host: HostId,
+    pub weight: f64,
+    pub zone: Option<ZoneId>,
+    pub cell: CellId,
+    pub role: Role,
+    pub standing: Standing,
+    /// Its latest start; none if that is long past.
+    pub started: Option<Time>,
+}
+
+/// What a list event says about the hosts that it does not name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Coverage {
+    Changes,
+    Whole,
+}
+
+/// A client's pull.
+#[derive(Clone, Debug)]
+pub struct Pull {
+    pub id: PullId,
+    pub workload: WorkloadId,
+    pub object: ObjectId,
+    pub part: u64,
+    pub group: GroupId,
+    pub size_kb: Option<f64>,
+    /// When the client gives this try up.
+    pub hard_stop: Time,
+}
+
+/// How a hand-off ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Answered,
+    Errored,
+    TurnedAway,
+    TimedOut,
+    NotConnected,
+    Broken,
+    Cancelled,
+    NotSent,
+    NoCopy,
+}
+
+impl Ending {
+    /// Proof that nothing ran.
+    pub fn never_ran(self) -> bool {
+        use Ending::*;
+        matches!(self, TurnedAway | NotConnected | NotSent | NoCopy)
+    }
+}
+
+/// What the answer tells of the copy or of the fill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Told {
+    Nothing,
+    Held,
+    Filled,
+    FilledThroughOrigin,
+    Joined,
+    Aged,
+    SourceRefused,
+    SourceUnreached,
+    SourceLacks,
+    NoPlace,
+    OriginFailed,
+}
+
+/// The end of a hand-off.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    pub pull: PullId,
+    pub leg: Leg,
+    pub host: HostId,
+    pub ending: Ending,
+    pub took: Span,
+    /// The pull has its final answer.
+    pub closed: bool,
+    pub told: Told,
+    /// The fill's wait for the source's first byte, or until it failed.
+    pub waited: Option<Span>,
+    pub load: Vec<f64>,
+}
+
+/// Take a hand-off back.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cancel {
+    pub pull: PullId,
+    pub leg: Leg,
+}
+
+/// Send a pull to a host.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HandOff {
+    pub pull: PullId,
+    pub host: HostId,
+    /// Where a miss is filled from; the host itself for no fill.
+    pub source: HostId,
+    pub allow: Span,
+    pub join: bool,
+    pub renew: bool,
+    /// The parent keeps no copy.
+    pub unkept_at_parent: bool,
+    /// The oldest copy that will do; none for the workload's fresh time.
+    pub oldest: Option<Span>,
+    /// 0 passes the object through, 1 to 3 is the rank at which it is kept.
+    pub keep: u8,
+}
+
+/// A final answer that the dispatcher gives itself.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Final {
+    Bounced { pull: PullId, come_back: Option<Span> },
+    Forfeited { pull: PullId },
+}
+
+/// All that one call asks of the caller, applied in the order of the fields.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Decisions {
+    pub cancels: Vec<Cancel>,
+    pub hand_offs: Vec<HandOff>,
+    pub finals: Vec<Final>,
+    /// Call `wake` at this time; earlier wishes stand.
+    pub wake: Option<Time>,
+}
