--- a/crates/flaxdeck-adapter/src/fields.rs
+++ b/crates/flaxdeck-adapter/src/fields.rs
@@ -73,10 +73,6 @@
         self.number(name).map(Time::at_ms)
     }
 
-    pub fn flag(&self, name: &str) -> Read<bool> {
-        Self::needed(name, self.typed(name, "true or false", Value::as_bool)?)
-    }
-
     /// False where the field is absent.
     pub fn flag_or_false(&self, name: &str) -> Read<bool> {
         Ok(self.typed(name, "true or false", Value::as_bool)?.unwrap_or(false))
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -58,8 +58,6 @@
 
 /// What is known of a workload: the figures that decisions use, and the mean sending time seen.
 struct Kind {
-    promised: Span,
-    stretch: f64,
     repeats: Repeats,
     goes_through: bool,
     parted: bool,
@@ -92,12 +90,12 @@
     sent: Time,
     overdue: Time,
     noted: bool,
+    trial: bool,
 }
 
 struct Held {
     pull: Pull,
     work: f64,
-    promised: Time,
     out: Vec<Out>,
     legs: u32,
     /// The first hand-off that may have run, with its host.
@@ -169,8 +167,6 @@
         let all = terms.dispatchers.max(1) as f64;
         let window = terms.fall_window;
         let kind = |w: &Workload| Kind {
-            promised: w.promised,
-            stretch: w.stretch,
             repeats: w.repeats,
             goes_through: w.goes_through,
             parted: w.parted,
@@ -277,12 +273,10 @@
             kind.mean_work += (work - kind.mean_work) / kind.samples;
         }
         let work = told.unwrap_or(kind.mean_work);
-        let promised = (now + kind.promised + Span::of_ms(work * kind.stretch)).min(pull.hard_stop);
         let id = pull.id;
         let held = Held {
             pull,
             work,
-            promised,
             out: Vec::new(),
             legs: 0,
             ran: None,
@@ -347,7 +341,9 @@
                 host.in_hand = (host.in_hand - 1.0).max(0.0);
                 if id != &out.host && spared {
                     host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
-                    host.next_trial = host.next_trial.min(self.now);
+                    if out.trial {
+                        host.next_trial = self.now; // a hit tried nothing
+                    }
                 }
             }
             if out.host == out.source {
@@ -666,6 +662,7 @@
         let held = &self.pulls[&id];
         let kind = &self.kinds[held.pull.workload.0];
         let source = self.pick_source(held);
+        let trial = source.as_ref().is_some_and(|id| self.hosts[id].next_trial <= self.now);
         let cache = if kind.goes_through && self.direct { None } else { self.pick_cache(held) };
         let (host, source) = match (cache, source) {
             (Some(cache), Some(source)) => (cache, source),
@@ -713,7 +710,7 @@
         held.legs += 1;
         held.tried.extend([host.clone(), source.clone()]);
         let (sent, overdue) = (self.now, self.now + patience);
-        held.out.push(Out { leg, host, source, sent, overdue, noted: false });
+        held.out.push(Out { leg, host, source, sent, overdue, noted: false, trial });
         true
     }
 
