A second copy goes out only beside a silent host

Cause: slow but living transfers on a full location link were doubled, and each copy was a further fill.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -90,6 +90,7 @@
     sent: Time,
     overdue: Time,
     noted: bool,
+    silent: bool,
     trial: bool,
 }
 
@@ -540,12 +541,14 @@
             return false;
         };
         out.noted = true;
+        let leg = out.leg;
         let (host, source, sent) = (out.host.clone(), out.source.clone(), out.sent);
         let silent = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.heard < sent);
-        if silent(&host) {
-            self.blame(&host);
-        } else if source != host && silent(&source) {
-            self.blame(&source);
+        let culprit = [host, source].into_iter().find(silent);
+        if let Some(culprit) = culprit {
+            self.blame(&culprit);
+            let held = self.pulls.get_mut(&id).expect("just seen");
+            held.out.iter_mut().filter(|out| out.leg == leg).for_each(|out| out.silent = true);
         }
         true
     }
@@ -553,7 +556,7 @@
     fn hand_off_beside_the_overdue(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get(&id) else { return false };
         let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
-        let overdue = held.out.len() == 1 && held.out[0].noted;
+        let overdue = held.out.iter().all(|out| out.silent);
         if !(self.duplicates && reissuable && overdue && self.may_follow(held)) {
             return false;
         }
@@ -710,7 +713,7 @@
         held.legs += 1;
         held.tried.extend([host.clone(), source.clone()]);
         let (sent, overdue) = (self.now, self.now + patience);
-        held.out.push(Out { leg, host, source, sent, overdue, noted: false, trial });
+        held.out.push(Out { leg, host, source, sent, overdue, noted: false, silent: false, trial });
         true
     }
 
