--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,7 @@
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: two far trips
 const OVERDUE: f64 = 2.0; // times the expected time: a fair share of a link halves the pace at most
 const AGAIN: Span = Span::from_ms(60); // pause before a hand-off after a refusal: lets short queues drain
+const MOST_DOUBLED: u32 = 4; // doublings of that pause: then it is near a second
 const COME_BACK: Span = Span::from_ms(300); // named to bounced clients: a few of the transfers in hand
 const TIDY: Span = Span::from_ms(1000); // the periodic timer: memory only, so a second will do
 const REMEMBER: Span = Span::from_ms(60_000); // how long an object counts as seen: several cache lifetimes
@@ -102,6 +103,7 @@
     /// The first hand-off that may have run, with its host.
     ran: Option<(Time, HostId)>,
     not_before: Time,
+    pauses: u32,
     tried: Vec<HostId>,
     done: bool,
 }
@@ -282,6 +284,7 @@
             legs: 0,
             ran: None,
             not_before: now,
+            pauses: 0,
             tried: Vec::new(),
             done: false,
         };
@@ -324,8 +327,18 @@
         } else if !ended.ending.never_ran() && held.ran.is_none() {
             held.ran = Some((out.sent, out.host.clone()));
         }
-        held.not_before = if ended.ending == Ending::TurnedAway { now + AGAIN } else { now };
-        if held.not_before > now {
+        use Told::*;
+        // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
+        match ended.told {
+            SourceRefused | SourceUnreached | SourceLacks | OriginFailed => {
+                held.tried.push(out.source.clone())
+            }
+            NoPlace => {}
+            _ => held.tried.push(out.host.clone()),
+        }
+        if ended.ending == Ending::TurnedAway {
+            held.pauses += 1;
+            held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
         }
         self.agenda.insert(ended.pull);
@@ -527,6 +540,7 @@
         if !self.hand_off(id) {
             let held = self.pulls.get_mut(&id).expect("just seen");
             held.not_before = self.now + AGAIN;
+            held.tried.clear();
             self.due.insert((held.not_before, id));
         }
         true
@@ -549,6 +563,7 @@
             self.blame(&culprit);
             let held = self.pulls.get_mut(&id).expect("just seen");
             held.out.iter_mut().filter(|out| out.leg == leg).for_each(|out| out.silent = true);
+            held.tried.push(culprit);
         }
         true
     }
@@ -660,6 +675,11 @@
         chosen.map(|host| host.line.host.clone())
     }
 
+    fn cache_up(&self) -> bool {
+        let mine = |host: &Host| host.line.role == Role::Cache && host.line.zone == Some(self.zone);
+        self.hosts.values().any(|host| mine(host) && self.usable(host))
+    }
+
     /// Sends a pull to the next cache in its order, or past the caches where there is none.
     fn hand_off(&mut self, id: PullId) -> bool {
         let held = &self.pulls[&id];
@@ -670,7 +690,9 @@
         let (host, source) = match (cache, source) {
             (Some(cache), Some(source)) => (cache, source),
             (Some(cache), None) => (cache.clone(), cache),
-            (None, Some(source)) if self.direct => (source.clone(), source),
+            (None, Some(source)) if self.direct && (kind.goes_through || !self.cache_up()) => {
+                (source.clone(), source)
+            }
             _ => return false,
         };
         let oldest = self.oldest(&held.pull, kind.fresh);
@@ -711,7 +733,6 @@
         });
         let held = self.pulls.get_mut(&id).expect("just seen");
         held.legs += 1;
-        held.tried.extend([host.clone(), source.clone()]);
         let (sent, overdue) = (self.now, self.now + patience);
         held.out.push(Out { leg, host, source, sent, overdue, noted: false, silent: false, trial });
         true
