--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,10 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 1.3; // transfers per full-pace place at which the hash moves down: short queues cost little
+const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
+const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
+const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
+const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.6; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.2; // times its present capacity that a cold host is asked for: more is only queued
 // Time.
@@ -103,6 +107,8 @@
     /// The first hand-off that may have run, with its host.
     ran: Option<(Time, HostId)>,
     not_before: Time,
+    /// Known to be held by no cache that may be asked.
+    missed: bool,
     pauses: u32,
     tried: Vec<HostId>,
     done: bool,
@@ -121,6 +127,10 @@
     kinds: Vec<Kind>,
     zone: ZoneId,
     zone_mates: f64,
+    /// The location's link by the last report, when that came, and fills sent since.
+    link: (f64, Time, f64),
+    link_place: Option<usize>,
+    load_place: Option<usize>,
     cache_ramp: Ramp,
     parent_ramp: Ramp,
     early: Span,
@@ -184,6 +194,9 @@
             kinds: terms.workloads.iter().map(kind).collect(),
             zone: terms.zone,
             zone_mates: mates,
+            link: (0.0, now, 0.0),
+            link_place: terms.load_link,
+            load_place: terms.load_in_hand,
             cache_ramp: Ramp::new(
                 terms.cold_from,
                 terms.warm_within,
@@ -284,6 +297,7 @@
             legs: 0,
             ran: None,
             not_before: now,
+            missed: false,
             pauses: 0,
             tried: Vec::new(),
             done: false,
@@ -333,20 +347,48 @@
             SourceRefused | SourceUnreached | SourceLacks | OriginFailed => {
                 held.tried.push(out.source.clone())
             }
-            NoPlace => {}
+            NoPlace | Nothing if ended.ending == Ending::NoCopy || ended.told == NoPlace => {}
             _ => held.tried.push(out.host.clone()),
         }
-        if ended.ending == Ending::TurnedAway {
+        if ended.ending == Ending::NoCopy || ended.told == NoPlace {
+            held.missed = true;
+        }
+        if matches!(ended.ending, Ending::TurnedAway | Ending::NoCopy) {
             held.pauses += 1;
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
         }
         self.agenda.insert(ended.pull);
         self.release(&out, &ended);
+        self.note_load(&out.host, &ended.load);
         self.rate(&out, &ended, size.filter(|_| large));
         self.settle()
     }
 
+    fn note_load(&mut self, id: &HostId, load: &[f64]) {
+        let Some(host) = self.hosts.get_mut(id).filter(|host| host.line.role == Role::Cache) else { return };
+        if let Some(all) = self.load_place.and_then(|place| load.get(place)) {
+            host.others = (all - host.in_hand).max(0.0);
+        }
+        if let Some(link) = self.link_place.and_then(|place| load.get(place)) {
+            self.link = (*link, self.now, 0.0);
+        }
+    }
+
+    // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
+    // full only hits are asked for, and known misses wait for room, the small ones first.
+    fn link_open(&self, work: f64, mean: f64) -> bool {
+        let (full, at, sent) = self.link;
+        let places: f64 = self.hosts.values().filter(|h| self.mine(h)).map(|h| h.line.weight).sum();
+        let bias = (mean / work.max(1.0)).clamp(1.0 / LINK_BIAS, LINK_BIAS);
+        let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
+        !known || (full < LINK_FULL * bias && sent < 1.0 + places * LINK_NEW / self.zone_mates)
+    }
+
+    fn mine(&self, host: &Host) -> bool {
+        host.line.role == Role::Cache && host.line.zone == Some(self.zone)
+    }
+
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
         let spared = matches!(ended.told, Told::Held | Told::Aged | Told::Joined);
@@ -370,8 +412,7 @@
     fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
         use Ending::*;
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
-        let source_failed =
-            matches!(ended.told, Told::SourceRefused | Told::SourceUnreached | Told::OriginFailed);
+        let source_failed = matches!(ended.told, Told::SourceRefused | Told::SourceUnreached);
         match ended.ending {
             Answered => {
                 self.praise(&out.host);
@@ -380,6 +421,13 @@
                     self.measure(out, ended, large);
                 }
             }
+            // A parent that the origin fails is no worse for it: the origin's reputation pays.
+            _ if ended.told == Told::OriginFailed => {
+                let origin = self.hosts.values().find(|host| host.line.role == Role::Origin);
+                if let Some(id) = origin.map(|host| host.line.host.clone()) {
+                    self.blame(&id);
+                }
+            }
             _ if source_failed && out.source != out.host => {
                 if let Some(host) = self.hosts.get_mut(&out.host) {
                     host.heard = self.now;
@@ -676,8 +724,7 @@
     }
 
     fn cache_up(&self) -> bool {
-        let mine = |host: &Host| host.line.role == Role::Cache && host.line.zone == Some(self.zone);
-        self.hosts.values().any(|host| mine(host) && self.usable(host))
+        self.hosts.values().any(|host| self.mine(host) && self.usable(host))
     }
 
     /// Sends a pull to the next cache in its order, or past the caches where there is none.
@@ -685,11 +732,15 @@
         let held = &self.pulls[&id];
         let kind = &self.kinds[held.pull.workload.0];
         let source = self.pick_source(held);
+        let open = kind.goes_through || self.link_open(held.work, kind.mean_work);
+        if held.missed && !open {
+            return false;
+        }
         let trial = source.as_ref().is_some_and(|id| self.hosts[id].next_trial <= self.now);
         let cache = if kind.goes_through && self.direct { None } else { self.pick_cache(held) };
         let (host, source) = match (cache, source) {
-            (Some(cache), Some(source)) => (cache, source),
-            (Some(cache), None) => (cache.clone(), cache),
+            (Some(cache), Some(source)) if open => (cache, source),
+            (Some(cache), _) => (cache.clone(), cache),
             (None, Some(source)) if self.direct && (kind.goes_through || !self.cache_up()) => {
                 (source.clone(), source)
             }
@@ -704,6 +755,15 @@
         let wait = self.hosts.get(&source).and_then(|source| source.latency).unwrap_or(SLACK.ms());
         let expected = Span::of_ms(work * slow + wait);
         let patience = expected * OVERDUE + SLACK;
+        let role = |id: &HostId| self.hosts[id].line.role;
+        // Guards against a stopped origin being asked on by every parent, and against fills that hold their
+        // places until they time out behind it.
+        let origin_out = self
+            .hosts
+            .values()
+            .any(|h| h.line.role == Role::Origin && !self.usable(h) && h.next_trial > self.now);
+        let only_held = origin_out && role(&source) == Role::Parent && !kind.goes_through;
+        let missed = held.missed;
         let repeatable = kind.repeats == Repeats::Reissuable;
         let left = held.pull.hard_stop.since(self.now);
         let allow = if repeatable && !self.duplicates { patience.min(left) } else { left };
@@ -719,6 +779,7 @@
             }
         }
         self.seen.insert(object, self.now);
+        self.link.2 += if missed { 1.0 } else { 0.0 };
         self.due.insert((self.now + patience, id));
         self.out.hand_offs.push(HandOff {
             pull: id,
@@ -727,6 +788,7 @@
             allow,
             join: self.joins,
             renew,
+            only_held,
             unkept_at_parent: false,
             oldest,
             keep,
--- a/src/words.rs
+++ b/src/words.rs
@@ -297,6 +297,8 @@
     pub allow: Span,
     pub join: bool,
     pub renew: bool,
+    /// The source gives only what it holds.
+    pub only_held: bool,
     /// The parent keeps no copy.
     pub unkept_at_parent: bool,
     /// The oldest copy that will do; none for the workload's fresh time.
