Load by the dispatcher's own hand-offs, the hash moves down at two a place

Cause: reports come up to a second late and count pulls that wait for fills; spills followed old news.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,7 +20,7 @@
 const STEP: f64 = 0.1; // share of the way back to 1 by a success: a third of a penalty, so 1 in 3 ejects
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
-const FULL: f64 = 4.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
+const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
@@ -651,8 +651,7 @@
     /// Transfers at the host over those that fit at full pace, as far as this dispatcher can know.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
-        (host.in_hand + host.others.max(host.in_hand * (self.zone_mates - 1.0)) + 1.0)
-            / (host.line.weight * part).max(0.1)
+        (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
