--- a/src/brain.rs
+++ b/src/brain.rs
@@ -353,7 +353,7 @@
         if ended.ending == Ending::NoCopy || ended.told == NoPlace {
             held.missed = true;
         }
-        if matches!(ended.ending, Ending::TurnedAway | Ending::NoCopy) {
+        if ended.ending == Ending::NoCopy || (ended.ending == Ending::TurnedAway && ended.told != Nothing) {
             held.pauses += 1;
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
