No hand-off to caches that hold three a place; what can't come in time bounces

Cause: under overload all transfers share the links and all come late; turned-away pulls tried on and on.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,7 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
+const ADMIT: f64 = 3.0; // the same at which no more is handed off: beyond, all are late together
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
@@ -63,6 +64,8 @@
 
 /// What is known of a workload: the figures that decisions use, and the mean sending time seen.
 struct Kind {
+    promised: Span,
+    stretch: f64,
     repeats: Repeats,
     goes_through: bool,
     parted: bool,
@@ -102,6 +105,7 @@
 struct Held {
     pull: Pull,
     work: f64,
+    promised: Time,
     out: Vec<Out>,
     legs: u32,
     /// The first hand-off that may have run, with its host.
@@ -180,6 +184,8 @@
         let all = terms.dispatchers.max(1) as f64;
         let window = terms.fall_window;
         let kind = |w: &Workload| Kind {
+            promised: w.promised,
+            stretch: w.stretch,
             repeats: w.repeats,
             goes_through: w.goes_through,
             parted: w.parted,
@@ -289,10 +295,12 @@
             kind.mean_work += (work - kind.mean_work) / kind.samples;
         }
         let work = told.unwrap_or(kind.mean_work);
+        let promised = now + kind.promised + Span::of_ms(work * kind.stretch);
         let id = pull.id;
         let held = Held {
             pull,
             work,
+            promised,
             out: Vec::new(),
             legs: 0,
             ran: None,
@@ -586,10 +594,15 @@
             return false;
         }
         if !self.hand_off(id) {
+            // Guards against overload in which all come late: what can't come in time makes room at once.
             let held = self.pulls.get_mut(&id).expect("just seen");
             held.not_before = self.now + AGAIN;
             held.tried.clear();
-            self.due.insert((held.not_before, id));
+            if held.promised.since(self.now).ms() < held.work {
+                self.give_up(id);
+            } else {
+                self.due.insert((held.not_before, id));
+            }
         }
         true
     }
@@ -695,6 +708,7 @@
             self.in_hash_order(Role::Cache, held.pull.object).into_iter().filter(allowed).collect();
         let least = order.iter().min_by(|a, b| self.load(a).total_cmp(&self.load(b)))?;
         let bound = FULL.max(self.load(least));
+        let bound = bound.min(ADMIT);
         order.iter().find(|host| self.load(host) <= bound).map(|host| host.line.host.clone())
     }
 
