--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
-const ADMIT: f64 = 3.0; // the same at which no more is handed off: beyond, all are late together
+const ADMIT: f64 = 2.4; // the same at which no more is handed off: beyond, all are late together
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
@@ -87,7 +87,7 @@
     beaten: [u32; 2],
     in_hand: f64,
     /// What others have at it, by its last report.
-    others: f64,
+    others: Option<f64>,
     spent: VecDeque<(Time, PullId, Leg, f64)>,
 }
 
@@ -265,7 +265,7 @@
                 bandwidth: None,
                 beaten: [0; 2],
                 in_hand: 0.0,
-                others: 0.0,
+                others: None,
                 spent: VecDeque::new(),
             };
             let known = self.hosts.entry(line.host.clone()).or_insert_with(fresh);
@@ -376,7 +376,7 @@
     fn note_load(&mut self, id: &HostId, load: &[f64]) {
         let Some(host) = self.hosts.get_mut(id).filter(|host| host.line.role == Role::Cache) else { return };
         if let Some(all) = self.load_place.and_then(|place| load.get(place)) {
-            host.others = (all - host.in_hand).max(0.0);
+            follow(&mut host.others, (all - host.in_hand).max(0.0));
         }
         if let Some(link) = self.link_place.and_then(|place| load.get(place)) {
             self.link = (*link, self.now, 0.0);
@@ -664,7 +664,13 @@
     /// Transfers at the host over those that fit at full pace, as far as this dispatcher can know.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
-        (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
+        (host.in_hand + self.others(host) + 1.0) / (host.line.weight * part).max(0.1)
+    }
+
+    // What the zone's other dispatchers have there: as much each as this one, until a report says better.
+    fn others(&self, host: &Host) -> f64 {
+        let guess = host.in_hand * (self.zone_mates - 1.0);
+        if self.zone_mates > 1.0 { host.others.unwrap_or(guess) } else { 0.0 }
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
