--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,6 +21,7 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
+const LATELY: Span = Span::from_ms(500); // over which own hand-offs stand for other dispatchers': a transfer's time
 const ADMIT: f64 = 2.4; // the same at which no more is handed off: beyond, all are late together
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
@@ -86,8 +87,9 @@
     /// Fills in a row in which the origin beat it, by latency and by bandwidth.
     beaten: [u32; 2],
     in_hand: f64,
-    /// What others have at it, by its last report.
-    others: Option<f64>,
+    /// The same over the last while, and when it was last reckoned.
+    usual: f64,
+    counted: Time,
     spent: VecDeque<(Time, PullId, Leg, f64)>,
 }
 
@@ -134,7 +136,6 @@
     /// The location's link by the last report, when that came, and fills sent since.
     link: (f64, Time, f64),
     link_place: Option<usize>,
-    load_place: Option<usize>,
     cache_ramp: Ramp,
     parent_ramp: Ramp,
     early: Span,
@@ -157,6 +158,15 @@
     out: Decisions,
 }
 
+impl Host {
+    fn count(&mut self, now: Time, by: f64) {
+        let part = (now.since(self.counted).ms() / LATELY.ms()).min(1.0);
+        self.usual += part * (self.in_hand - self.usual);
+        self.counted = now;
+        self.in_hand = (self.in_hand + by).max(0.0);
+    }
+}
+
 /// The rules for a pull, in order; each tells whether it fired.
 const RULES: [fn(&mut Brain, PullId) -> bool; 6] = [
     Brain::drop_what_is_done,
@@ -202,7 +212,6 @@
             zone_mates: mates,
             link: (0.0, now, 0.0),
             link_place: terms.load_link,
-            load_place: terms.load_in_hand,
             cache_ramp: Ramp::new(
                 terms.cold_from,
                 terms.warm_within,
@@ -265,7 +274,8 @@
                 bandwidth: None,
                 beaten: [0; 2],
                 in_hand: 0.0,
-                others: None,
+                usual: 0.0,
+                counted: now,
                 spent: VecDeque::new(),
             };
             let known = self.hosts.entry(line.host.clone()).or_insert_with(fresh);
@@ -374,9 +384,8 @@
     }
 
     fn note_load(&mut self, id: &HostId, load: &[f64]) {
-        let Some(host) = self.hosts.get_mut(id).filter(|host| host.line.role == Role::Cache) else { return };
-        if let Some(all) = self.load_place.and_then(|place| load.get(place)) {
-            follow(&mut host.others, (all - host.in_hand).max(0.0));
+        if self.hosts.get(id).is_none_or(|host| host.line.role != Role::Cache) {
+            return;
         }
         if let Some(link) = self.link_place.and_then(|place| load.get(place)) {
             self.link = (*link, self.now, 0.0);
@@ -402,7 +411,7 @@
         let spared = matches!(ended.told, Told::Held | Told::Aged | Told::Joined);
         for id in [&out.host, &out.source] {
             if let Some(host) = self.hosts.get_mut(id) {
-                host.in_hand = (host.in_hand - 1.0).max(0.0);
+                host.count(self.now, -1.0);
                 if id != &out.host && spared {
                     host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
                     if out.trial {
@@ -530,7 +539,7 @@
             }
             for host in BTreeSet::from([&out.host, &out.source]) {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    host.in_hand = (host.in_hand - 1.0).max(0.0);
+                    host.count(self.now, -1.0);
                 }
             }
         }
@@ -667,10 +676,9 @@
         (host.in_hand + self.others(host) + 1.0) / (host.line.weight * part).max(0.1)
     }
 
-    // What the zone's other dispatchers have there: as much each as this one, until a report says better.
+    // What the zone's other dispatchers have there: each as much as this one has had there lately.
     fn others(&self, host: &Host) -> f64 {
-        let guess = host.in_hand * (self.zone_mates - 1.0);
-        if self.zone_mates > 1.0 { host.others.unwrap_or(guess) } else { 0.0 }
+        host.usual * (self.zone_mates - 1.0)
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
@@ -790,7 +798,7 @@
         for (host, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
             let now = self.now;
             let Some(host) = self.hosts.get_mut(host) else { continue };
-            host.in_hand += 1.0;
+            host.count(now, 1.0);
             host.next_trial = now + TRIAL;
             host.spent.push_back((now, id, leg, cost));
             while host.spent.front().is_some_and(|(at, ..)| now.since(*at) > self.cache_ramp.window) {
