Beyond a full load only pulls that can still come in time are handed off

Cause: under overload large transfers, late in any case, held the links on which small ones could have come in time. Could harm where sizes are untold: then all pulls of a workload count as its mean.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,8 +21,7 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
-const LATELY: Span = Span::from_ms(500); // over which own hand-offs stand for other dispatchers': a transfer's time
-const ADMIT: f64 = 2.4; // the same at which no more is handed off: beyond, all are late together
+const ADMIT: f64 = 3.0; // the same at which no more is handed off: beyond, all are late together
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
@@ -87,9 +86,6 @@
     /// Fills in a row in which the origin beat it, by latency and by bandwidth.
     beaten: [u32; 2],
     in_hand: f64,
-    /// The same over the last while, and when it was last reckoned.
-    usual: f64,
-    counted: Time,
     spent: VecDeque<(Time, PullId, Leg, f64)>,
 }
 
@@ -158,15 +154,6 @@
     out: Decisions,
 }
 
-impl Host {
-    fn count(&mut self, now: Time, by: f64) {
-        let part = (now.since(self.counted).ms() / LATELY.ms()).min(1.0);
-        self.usual += part * (self.in_hand - self.usual);
-        self.counted = now;
-        self.in_hand = (self.in_hand + by).max(0.0);
-    }
-}
-
 /// The rules for a pull, in order; each tells whether it fired.
 const RULES: [fn(&mut Brain, PullId) -> bool; 6] = [
     Brain::drop_what_is_done,
@@ -274,8 +261,6 @@
                 bandwidth: None,
                 beaten: [0; 2],
                 in_hand: 0.0,
-                usual: 0.0,
-                counted: now,
                 spent: VecDeque::new(),
             };
             let known = self.hosts.entry(line.host.clone()).or_insert_with(fresh);
@@ -411,7 +396,7 @@
         let spared = matches!(ended.told, Told::Held | Told::Aged | Told::Joined);
         for id in [&out.host, &out.source] {
             if let Some(host) = self.hosts.get_mut(id) {
-                host.count(self.now, -1.0);
+                host.in_hand = (host.in_hand - 1.0).max(0.0);
                 if id != &out.host && spared {
                     host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
                     if out.trial {
@@ -539,7 +524,7 @@
             }
             for host in BTreeSet::from([&out.host, &out.source]) {
                 if let Some(host) = self.hosts.get_mut(host) {
-                    host.count(self.now, -1.0);
+                    host.in_hand = (host.in_hand - 1.0).max(0.0);
                 }
             }
         }
@@ -673,12 +658,7 @@
     /// Transfers at the host over those that fit at full pace, as far as this dispatcher can know.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
-        (host.in_hand + self.others(host) + 1.0) / (host.line.weight * part).max(0.1)
-    }
-
-    // What the zone's other dispatchers have there: each as much as this one has had there lately.
-    fn others(&self, host: &Host) -> f64 {
-        host.usual * (self.zone_mates - 1.0)
+        (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
@@ -722,8 +702,12 @@
             self.in_hash_order(Role::Cache, held.pull.object).into_iter().filter(allowed).collect();
         let least = order.iter().min_by(|a, b| self.load(a).total_cmp(&self.load(b)))?;
         let bound = FULL.max(self.load(least));
-        let bound = bound.min(ADMIT);
-        order.iter().find(|host| self.load(host) <= bound).map(|host| host.line.host.clone())
+        let left = held.promised.since(self.now).ms();
+        let in_time = |host: &&&Host| {
+            let load = self.load(host);
+            load <= bound.min(ADMIT) && (load <= FULL || load * held.work < left)
+        };
+        order.iter().find(in_time).map(|host| host.line.host.clone())
     }
 
     // The adaptive set: parents stay unless the origin clearly beats them on the measure that the size picks
@@ -798,7 +782,7 @@
         for (host, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
             let now = self.now;
             let Some(host) = self.hosts.get_mut(host) else { continue };
-            host.count(now, 1.0);
+            host.in_hand += 1.0;
             host.next_trial = now + TRIAL;
             host.spent.push_back((now, id, leg, cost));
             while host.spent.front().is_some_and(|(at, ..)| now.since(*at) > self.cache_ramp.window) {
