--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,7 +21,7 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
-const ADMIT: f64 = 3.0; // the same at which no more is handed off: beyond, all are late together
+const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, all are late together
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
