--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -358,10 +358,7 @@
             "leg": cancel.leg.0}));
     }
     for sent in decisions.hand_offs {
-        let bits = u8::from(sent.join)
-            + 2 * u8::from(sent.only_held)
-            + 4 * u8::from(sent.unkept_at_parent)
-            + 8 * u8::from(sent.renew);
+        let bits = u8::from(sent.join) + 2 * u8::from(sent.only_held) + 8 * u8::from(sent.renew);
         let mut action = json!({"event_type": "Obtain", "who": who, "request_id": sent.pull.0,
             "host": &*sent.host.0, "miss_from": &*sent.source.0, "allow_for_ms": sent.allow.ms(),
             "bits": bits, "keep": sent.keep});
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -20,60 +20,72 @@
 const STEP: f64 = 0.1; // share of the way back to 1 by a success: a third of a penalty, so 1 in 3 ejects
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
-const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: waiting for a fill is no load
-const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, all are late together
+const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
+const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 1.2; // transfers on the location's link over those that fit; more only slows all
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.6; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.2; // times its present capacity that a cold host is asked for: more is only queued
+const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
-const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: two far trips
+const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
 const OVERDUE: f64 = 2.0; // times the expected time: a fair share of a link halves the pace at most
-const AGAIN: Span = Span::from_ms(60); // pause before a hand-off after a refusal: lets short queues drain
+const AGAIN: Span = Span::from_ms(60); // first pause after a refusal: lets short queues drain
 const MOST_DOUBLED: u32 = 4; // doublings of that pause: then it is near a second
 const COME_BACK: Span = Span::from_ms(300); // named to bounced clients: a few of the transfers in hand
 const TIDY: Span = Span::from_ms(1000); // the periodic timer: memory only, so a second will do
 const REMEMBER: Span = Span::from_ms(60_000); // how long an object counts as seen: several cache lifetimes
-const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 const TICKS_EARLY: f64 = 3.0; // ticks before the hard stop at which a pull gets its answer: one may slip
+const HAIR: Span = Span::from_ms(1); // taken off an age limit, and its least: the wire rounds
 
-/// A cold host's ramp and this dispatcher's part of what it can be asked for.
+/// The rules for a pull, in order; each tells whether it fired.
+const RULES: [fn(&mut Brain, PullId) -> bool; 6] = [
+    Brain::drop_what_is_done,
+    Brain::answer_before_the_hard_stop,
+    Brain::give_up_when_nothing_may_follow,
+    Brain::hand_off_what_waits,
+    Brain::note_what_is_overdue,
+    Brain::hand_off_beside_the_silent,
+];
+
+/// A cold host's least rise, and this dispatcher's part of what such a host can be asked for.
 struct Ramp {
     from: f64,
     within: Span,
     window: Span,
-    use_of: f64,
+    share: f64,
 }
 
 impl Ramp {
-    fn new(from: f64, within: Span, window: Span, factor: f64, share: f64) -> Ramp {
-        Ramp { from, within, window, use_of: (factor * COLD_USE).min(COLD_MOST) * share }
-    }
-    /// The least part of its capacity that a host started then has now.
-    fn part(&self, started: Option<Time>, now: Time) -> f64 {
-        let Some(started) = started else { return 1.0 };
-        let risen = now.since(started).ms() / self.within.ms().max(1.0);
-        (self.from + (1.0 - self.from) * risen).min(1.0)
+    fn new(from: f64, within: Span, window: Span, factor: f64, dispatchers: f64) -> Ramp {
+        Ramp { from, within, window, share: (factor * COLD_USE).min(COLD_MOST) / dispatchers }
     }
-    fn cold(&self, started: Option<Time>, now: Time) -> bool {
-        started.is_some_and(|started| now < started + self.within + self.window)
+    /// The least part of its capacity that a host started then has at a time.
+    fn part(&self, started: Option<Time>, at: Time) -> f64 {
+        let risen = |started| at.since(started).ms() / self.within.ms().max(1.0);
+        started.map_or(1.0, |started| (self.from + (1.0 - self.from) * risen(started)).min(1.0))
     }
 }
 
-/// What is known of a workload: the figures that decisions use, and the mean sending time seen.
+/// What is kept of a workload, with the mean sending time seen.
 struct Kind {
-    promised: Span,
-    stretch: f64,
-    repeats: Repeats,
-    goes_through: bool,
-    parted: bool,
-    fresh: Option<Span>,
+    terms: Workload,
     mean_work: f64,
     samples: f64,
 }
 
+impl Kind {
+    /// What a pull weighs against a cold cache: the mean, or more until that is known.
+    fn cost(&self, work: f64) -> f64 {
+        if self.samples < SETTLED { self.mean_work.max(work) } else { self.mean_work }
+    }
+    fn large(&self, pull: &Pull) -> bool {
+        self.terms.parted || pull.size_kb.is_some_and(|kb| kb >= LARGE_KB)
+    }
+}
+
 /// A host with its ratings and what this dispatcher has at it.
 struct Host {
     line: Listed,
@@ -89,6 +101,29 @@
     spent: VecDeque<(Time, PullId, Leg, f64)>,
 }
 
+impl Host {
+    fn new(line: Listed, now: Time) -> Host {
+        let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
+        let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
+        let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
+        let (latency, bandwidth, beaten, heard) = (None, None, [0; 2], now);
+        Host { line, hash, reputation, next_trial, heard, latency, bandwidth, beaten, in_hand, spent }
+    }
+    fn is(&self, role: Role) -> bool {
+        self.line.role == role
+    }
+    fn usable(&self) -> bool {
+        self.line.standing == Standing::InService && self.reputation >= FLOOR
+    }
+    fn praise(&mut self, now: Time) {
+        self.heard = now;
+        self.reputation += STEP * (1.0 - self.reputation);
+    }
+    fn leave(&mut self) {
+        self.in_hand = (self.in_hand - 1.0).max(0.0);
+    }
+}
+
 struct Out {
     leg: Leg,
     host: HostId,
@@ -109,19 +144,13 @@
     /// The first hand-off that may have run, with its host.
     ran: Option<(Time, HostId)>,
     not_before: Time,
-    /// Known to be held by no cache that may be asked.
-    missed: bool,
     pauses: u32,
+    /// The cache that it belongs to lacks it.
+    missed: bool,
     tried: Vec<HostId>,
     done: bool,
 }
 
-struct Purge {
-    object: Option<ObjectId>,
-    group: GroupId,
-    made: Time,
-}
-
 pub struct Brain {
     now: Time,
     born: Time,
@@ -145,7 +174,7 @@
     kb_per_ms: f64,
     hosts: BTreeMap<HostId, Host>,
     pulls: BTreeMap<PullId, Held>,
-    purges: Vec<Purge>,
+    purges: Vec<(Option<ObjectId>, GroupId, Time)>,
     seen: BTreeMap<ObjectId, Time>,
     due: BTreeSet<(Time, PullId)>,
     agenda: BTreeSet<PullId>,
@@ -154,16 +183,6 @@
     out: Decisions,
 }
 
-/// The rules for a pull, in order; each tells whether it fired.
-const RULES: [fn(&mut Brain, PullId) -> bool; 6] = [
-    Brain::drop_what_is_done,
-    Brain::answer_before_the_hard_stop,
-    Brain::give_up_when_nothing_may_follow,
-    Brain::hand_off_what_waits,
-    Brain::note_what_is_overdue,
-    Brain::hand_off_beside_the_overdue,
-];
-
 fn mix(mut x: u64) -> u64 {
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
@@ -179,40 +198,26 @@
     pub fn start(now: Time, seed: u64, terms: Terms) -> (Brain, Decisions) {
         let mates = terms.zone_dispatchers.get(terms.zone.0).copied().unwrap_or(1).max(1) as f64;
         let all = terms.dispatchers.max(1) as f64;
-        let window = terms.fall_window;
-        let kind = |w: &Workload| Kind {
-            promised: w.promised,
-            stretch: w.stretch,
-            repeats: w.repeats,
-            goes_through: w.goes_through,
-            parted: w.parted,
-            fresh: Some(w.fresh).filter(|fresh| *fresh > Span::ZERO),
-            mean_work: w.promised.ms() / (1.0 + w.stretch),
+        let (from, within, factor) = (terms.cold_from, terms.warm_within, terms.overload_factor);
+        let cache_ramp = Ramp::new(from, within, terms.fall_window, factor, mates);
+        let (from, within) = (terms.parent_cold_from, terms.parent_warm_within);
+        let parent_ramp = Ramp::new(from, within, terms.fall_window, terms.parent_overload_factor, all);
+        let kind = |terms: Workload| Kind {
+            mean_work: terms.promised.ms() / (1.0 + terms.stretch),
             samples: 0.0,
+            terms,
         };
         let mut brain = Brain {
             now,
             born: now,
             chance: Pcg64Mcg::seed_from_u64(seed),
-            kinds: terms.workloads.iter().map(kind).collect(),
+            kinds: terms.workloads.into_iter().map(kind).collect(),
             zone: terms.zone,
             zone_mates: mates,
             link: (0.0, now, 0.0),
             link_place: terms.load_link,
-            cache_ramp: Ramp::new(
-                terms.cold_from,
-                terms.warm_within,
-                window,
-                terms.overload_factor,
-                1.0 / mates,
-            ),
-            parent_ramp: Ramp::new(
-                terms.parent_cold_from,
-                terms.parent_warm_within,
-                window,
-                terms.parent_overload_factor,
-                1.0 / all,
-            ),
+            cache_ramp,
+            parent_ramp,
             early: terms.tick * TICKS_EARLY,
             settles: terms.purge_settles,
             come_back: terms.may_name_return.then(|| COME_BACK.min(terms.longest_return)),
@@ -232,57 +237,36 @@
             wake_at: None,
             out: Decisions::default(),
         };
-        let decisions = brain.settle();
+        let decisions = brain.settle(now);
         (brain, decisions)
     }
 
     /// Lines of the list of hosts; with the whole list, what it leaves out is gone.
     pub fn list(&mut self, now: Time, coverage: Coverage, lines: Vec<Listed>) -> Decisions {
-        self.now = now;
         if coverage == Coverage::Whole {
             let named: BTreeSet<&HostId> = lines.iter().map(|line| &line.host).collect();
-            for (id, host) in &mut self.hosts {
-                if !named.contains(id) {
-                    host.line.standing = Standing::Gone;
-                }
+            for (_, host) in self.hosts.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                host.line.standing = Standing::Gone;
             }
         }
         for line in lines {
-            let hash = line.host.0.bytes().fold(0xcbf29ce484222325, |hash: u64, byte| {
-                (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3)
-            });
-            let fresh = || Host {
-                line: line.clone(),
-                hash: mix(hash),
-                reputation: 1.0,
-                next_trial: now + TRIAL,
-                heard: now,
-                latency: None,
-                bandwidth: None,
-                beaten: [0; 2],
-                in_hand: 0.0,
-                spent: VecDeque::new(),
-            };
-            let known = self.hosts.entry(line.host.clone()).or_insert_with(fresh);
+            let known = self.hosts.entry(line.host.clone()).or_insert_with(|| Host::new(line.clone(), now));
             if known.line.started != line.started {
                 // A new process: nothing held, nothing known of it but its name.
-                let in_hand = known.in_hand;
-                *known = Host { in_hand, ..fresh() };
+                *known = Host { in_hand: known.in_hand, ..Host::new(line.clone(), now) };
             }
             known.line = line;
             // Guards against a restarted dispatcher giving a cold host its share a second time.
-            let ramp = if known.line.role == Role::Cache { &self.cache_ramp } else { &self.parent_ramp };
-            if now.since(self.born) < ramp.window && known.spent.is_empty() {
+            if now.since(self.born) < self.cache_ramp.window && known.spent.is_empty() {
                 known.spent.push_back((self.born, PullId(u64::MAX), Leg(0), f64::INFINITY));
             }
         }
         self.agenda.extend(self.pulls.keys().copied());
-        self.settle()
+        self.settle(now)
     }
 
     /// A client's pull, to be given exactly one final answer.
     pub fn pull(&mut self, now: Time, pull: Pull) -> Decisions {
-        self.now = now;
         let kind = &mut self.kinds[pull.workload.0];
         let told = pull.size_kb.filter(|_| self.kb_per_ms > 0.0).map(|kb| kb / self.kb_per_ms);
         if let Some(work) = told {
@@ -290,122 +274,80 @@
             kind.mean_work += (work - kind.mean_work) / kind.samples;
         }
         let work = told.unwrap_or(kind.mean_work);
-        let promised = now + kind.promised + Span::of_ms(work * kind.stretch);
-        let id = pull.id;
-        let held = Held {
-            pull,
-            work,
-            promised,
-            out: Vec::new(),
-            legs: 0,
-            ran: None,
-            not_before: now,
-            missed: false,
-            pauses: 0,
-            tried: Vec::new(),
-            done: false,
-        };
-        self.due.insert((held.pull.hard_stop - self.early, id));
+        let promised = now + kind.terms.promised + Span::of_ms(work * kind.terms.stretch);
+        let (id, stop) = (pull.id, pull.hard_stop - self.early);
+        let (out, tried, legs, pauses, ran) = (Vec::new(), Vec::new(), 0, 0, None);
+        let (not_before, missed, done) = (now, false, false);
+        let held = Held { pull, work, promised, out, legs, ran, not_before, pauses, missed, tried, done };
         self.pulls.insert(id, held);
+        self.due.insert((stop, id));
         self.agenda.insert(id);
-        self.settle()
+        self.settle(now)
     }
 
     /// A purge of one object, or of a whole group, made at the given time.
     pub fn purge(&mut self, now: Time, object: Option<ObjectId>, group: GroupId, made: Time) -> Decisions {
-        self.now = now;
-        self.purges.push(Purge { object, group, made });
-        self.settle()
+        self.purges.push((object, group, made));
+        self.settle(now)
     }
 
     /// The client has left; no answer is owed any more.
     pub fn client_left(&mut self, now: Time, id: PullId) -> Decisions {
-        self.now = now;
         self.close(id);
-        self.settle()
+        self.settle(now)
     }
 
     /// The time asked for in an earlier `Decisions::wake` has come.
     pub fn wake(&mut self, now: Time) -> Decisions {
-        self.now = now;
-        self.settle()
+        self.settle(now)
     }
 
     /// A hand-off has ended.
     pub fn hand_off_ended(&mut self, now: Time, ended: Ended) -> Decisions {
+        use Told::*;
         self.now = now;
-        let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.settle() };
-        let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.settle() };
+        let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.settle(now) };
+        let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.settle(now) };
         let out = held.out.remove(at);
-        let size = held.pull.size_kb;
-        let large = self.kinds[held.pull.workload.0].parted || size.is_some_and(|kb| kb >= LARGE_KB);
-        if ended.ending == Ending::Answered || ended.closed {
-            held.done = true;
-        } else if !ended.ending.never_ran() && held.ran.is_none() {
+        let lacking = ended.ending == Ending::NoCopy || ended.told == NoPlace;
+        held.done |= ended.ending == Ending::Answered || ended.closed;
+        held.missed |= lacking;
+        if !ended.ending.never_ran() && held.ran.is_none() {
             held.ran = Some((out.sent, out.host.clone()));
         }
-        use Told::*;
         // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
-        match ended.told {
-            SourceRefused | SourceUnreached | SourceLacks | OriginFailed => {
-                held.tried.push(out.source.clone())
-            }
-            NoPlace | Nothing if ended.ending == Ending::NoCopy || ended.told == NoPlace => {}
-            _ => held.tried.push(out.host.clone()),
-        }
-        if ended.ending == Ending::NoCopy || ended.told == NoPlace {
-            held.missed = true;
-        }
-        if ended.ending == Ending::NoCopy || (ended.ending == Ending::TurnedAway && ended.told != Nothing) {
+        let source_failed =
+            matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed);
+        if source_failed {
+            held.tried.push(out.source.clone());
+        } else if !lacking {
+            held.tried.push(out.host.clone());
+        }
+        if lacking || (ended.ending == Ending::TurnedAway && source_failed) {
             held.pauses += 1;
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
         }
+        let kind = &self.kinds[held.pull.workload.0];
+        let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
         self.agenda.insert(ended.pull);
         self.release(&out, &ended);
-        self.note_load(&out.host, &ended.load);
-        self.rate(&out, &ended, size.filter(|_| large));
-        self.settle()
-    }
-
-    fn note_load(&mut self, id: &HostId, load: &[f64]) {
-        if self.hosts.get(id).is_none_or(|host| host.line.role != Role::Cache) {
-            return;
-        }
-        if let Some(link) = self.link_place.and_then(|place| load.get(place)) {
-            self.link = (*link, self.now, 0.0);
-        }
-    }
-
-    // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
-    // full only hits are asked for, and known misses wait for room, the small ones first.
-    fn link_open(&self, work: f64, mean: f64) -> bool {
-        let (full, at, sent) = self.link;
-        let places: f64 = self.hosts.values().filter(|h| self.mine(h)).map(|h| h.line.weight).sum();
-        let bias = (mean / work.max(1.0)).clamp(1.0 / LINK_BIAS, LINK_BIAS);
-        let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
-        !known || (full < LINK_FULL * bias && sent < 1.0 + places * LINK_NEW / self.zone_mates)
-    }
-
-    fn mine(&self, host: &Host) -> bool {
-        host.line.role == Role::Cache && host.line.zone == Some(self.zone)
+        self.rate(&out, &ended, large);
+        self.settle(now)
     }
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
-        let spared = matches!(ended.told, Told::Held | Told::Aged | Told::Joined);
-        for id in [&out.host, &out.source] {
-            if let Some(host) = self.hosts.get_mut(id) {
-                host.in_hand = (host.in_hand - 1.0).max(0.0);
-                if id != &out.host && spared {
-                    host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
-                    if out.trial {
-                        host.next_trial = self.now; // a hit tried nothing
-                    }
-                }
-            }
-            if out.host == out.source {
-                break;
+        let link = self.link_place.and_then(|place| ended.load.get(place));
+        if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
+            self.link = (*link, self.now, 0.0);
+        }
+        for id in BTreeSet::from([&out.host, &out.source]) {
+            let Some(host) = self.hosts.get_mut(id) else { continue };
+            host.leave();
+            if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
+                host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
+                host.next_trial = if out.trial { self.now } else { host.next_trial };
             }
         }
     }
@@ -414,26 +356,24 @@
     fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
         use Ending::*;
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
-        let source_failed = matches!(ended.told, Told::SourceRefused | Told::SourceUnreached);
+        let (now, behind) = (self.now, out.source != out.host);
         match ended.ending {
             Answered => {
-                self.praise(&out.host);
-                if filled && out.source != out.host {
-                    self.praise(&out.source);
+                self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.praise(now));
+                if filled && behind {
+                    self.hosts.get_mut(&out.source).into_iter().for_each(|host| host.praise(now));
                     self.measure(out, ended, large);
                 }
             }
             // A parent that the origin fails is no worse for it: the origin's reputation pays.
             _ if ended.told == Told::OriginFailed => {
-                let origin = self.hosts.values().find(|host| host.line.role == Role::Origin);
+                let origin = self.hosts.values().find(|host| host.is(Role::Origin));
                 if let Some(id) = origin.map(|host| host.line.host.clone()) {
                     self.blame(&id);
                 }
             }
-            _ if source_failed && out.source != out.host => {
-                if let Some(host) = self.hosts.get_mut(&out.host) {
-                    host.heard = self.now;
-                }
+            _ if matches!(ended.told, Told::SourceRefused | Told::SourceUnreached) && behind => {
+                self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.heard = now);
                 self.blame(&out.source);
             }
             Errored | NotConnected | Broken => self.blame(&out.host),
@@ -441,69 +381,58 @@
         }
     }
 
-    fn praise(&mut self, id: &HostId) {
-        if let Some(host) = self.hosts.get_mut(id) {
-            host.heard = self.now;
-            host.reputation += STEP * (1.0 - host.reputation);
-        }
-    }
-
     fn blame(&mut self, id: &HostId) {
+        let next_trial = self.now + TRIAL * self.chance.random_range(0.9..1.1);
         if let Some(host) = self.hosts.get_mut(id) {
             host.reputation *= 1.0 - PENALTY;
-            host.next_trial = self.now + TRIAL * self.chance.random_range(0.9..1.1);
+            host.next_trial = next_trial;
         }
     }
 
     fn measure(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
         let Some(waited) = ended.waited else { return };
-        let origin = self.hosts.values().find(|host| host.line.role == Role::Origin);
+        let origin = self.hosts.values().find(|host| host.is(Role::Origin));
         let (best_latency, best_bandwidth) =
             origin.map_or((None, None), |host| (host.latency, host.bandwidth));
         let Some(source) = self.hosts.get_mut(&out.source) else { return };
-        if source.line.role == Role::Origin || ended.told == Told::Filled {
+        let count = |beaten: bool, before: u32| if beaten { (before + 1).min(SEVERAL) } else { 0 };
+        if source.is(Role::Origin) || ended.told == Told::Filled {
             follow(&mut source.latency, waited.ms());
             let clearly = |(own, origin): (f64, f64)| origin < own * (1.0 - MARGIN);
-            let beaten = source.latency.zip(best_latency).is_some_and(clearly);
-            source.beaten[0] = if beaten { (source.beaten[0] + 1).min(SEVERAL) } else { 0 };
+            source.beaten[0] = count(source.latency.zip(best_latency).is_some_and(clearly), source.beaten[0]);
         }
         if let Some(kb) = large {
             follow(&mut source.bandwidth, kb / ended.took.less(waited).ms().max(1.0));
             let clearly = |(own, origin): (f64, f64)| origin > own * (1.0 + MARGIN);
-            let beaten = source.bandwidth.zip(best_bandwidth).is_some_and(clearly);
-            source.beaten[1] = if beaten { (source.beaten[1] + 1).min(SEVERAL) } else { 0 };
+            source.beaten[1] =
+                count(source.bandwidth.zip(best_bandwidth).is_some_and(clearly), source.beaten[1]);
         }
     }
 
-    fn settle(&mut self) -> Decisions {
-        if self.now >= self.next_tidy {
-            self.tidy();
-        }
-        while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= self.now) {
+    fn settle(&mut self, now: Time) -> Decisions {
+        self.now = now;
+        if now >= self.next_tidy {
+            self.next_tidy = now + TIDY;
+            self.seen.retain(|_, at| now.since(*at) < REMEMBER);
+            let settles = self.settles + TIDY;
+            self.purges.retain(|(.., made)| now.since(*made) < settles);
+            self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
+        }
+        while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= now) {
             self.due.remove(&(at, id));
             self.agenda.insert(id);
         }
-        while let Some(&id) = self.agenda.first() {
+        while let Some(id) = self.agenda.pop_first() {
             while RULES.iter().any(|rule| rule(self, id)) {}
-            self.agenda.remove(&id);
         }
         let next = self.due.first().map_or(self.next_tidy, |(at, _)| self.next_tidy.min(*at));
-        if self.wake_at.is_none_or(|at| at <= self.now || next < at) {
+        if self.wake_at.is_none_or(|at| at <= now || next < at) {
             self.wake_at = Some(next);
             self.out.wake = Some(next);
         }
         std::mem::take(&mut self.out)
     }
 
-    fn tidy(&mut self) {
-        let now = self.now;
-        self.next_tidy = now + TIDY;
-        self.seen.retain(|_, at| now.since(*at) < REMEMBER);
-        let settles = self.settles + TIDY;
-        self.purges.retain(|purge| now.since(purge.made) < settles);
-        self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
-    }
-
     fn close(&mut self, id: PullId) {
         if let Some(held) = self.pulls.get_mut(&id) {
             held.done = true;
@@ -512,8 +441,7 @@
     }
 
     fn drop_what_is_done(&mut self, id: PullId) -> bool {
-        let Some(held) = self.pulls.get(&id) else { return false };
-        if !held.done {
+        if self.pulls.get(&id).is_none_or(|held| !held.done) {
             return false;
         }
         let held = self.pulls.remove(&id).expect("just seen");
@@ -523,9 +451,7 @@
                 self.out.cancels.push(Cancel { pull: id, leg: out.leg });
             }
             for host in BTreeSet::from([&out.host, &out.source]) {
-                if let Some(host) = self.hosts.get_mut(host) {
-                    host.in_hand = (host.in_hand - 1.0).max(0.0);
-                }
+                self.hosts.get_mut(host).into_iter().for_each(Host::leave);
             }
         }
         true
@@ -533,58 +459,46 @@
 
     // Guards against a lost pull: whatever else goes on, the client gets its answer while it listens.
     fn answer_before_the_hard_stop(&mut self, id: PullId) -> bool {
-        let Some(held) = self.pulls.get(&id) else { return false };
-        if self.now + self.early < held.pull.hard_stop {
-            return false;
-        }
-        self.give_up(id);
-        true
+        let late = self.pulls.get(&id).is_some_and(|held| self.now + self.early >= held.pull.hard_stop);
+        late && self.give_up(id)
     }
 
     fn give_up_when_nothing_may_follow(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get(&id) else { return false };
-        let left = held.pull.hard_stop.since(self.now).ms();
-        if !held.out.is_empty() || (self.may_follow(held) && held.work < left) {
-            return false;
-        }
-        self.give_up(id);
-        true
+        let in_time = held.work < held.pull.hard_stop.since(self.now).ms();
+        held.out.is_empty() && !(in_time && self.may_follow(held)) && self.give_up(id)
     }
 
     // A bounce promises that a retry is harmless; where that can't be known it is a forfeit.
-    fn give_up(&mut self, id: PullId) {
+    fn give_up(&mut self, id: PullId) -> bool {
         let held = &self.pulls[&id];
-        let harmless = match self.kinds[held.pull.workload.0].repeats {
+        let harmless = match self.kinds[held.pull.workload.0].terms.repeats {
             Repeats::Reissuable | Repeats::Numbered { scope: Scope::All, .. } => true,
             _ => held.ran.is_none() && held.out.is_empty(),
         };
-        self.out.finals.push(if harmless {
-            Final::Bounced { pull: id, come_back: self.come_back }
-        } else {
-            Final::Forfeited { pull: id }
-        });
+        let bounced = Final::Bounced { pull: id, come_back: self.come_back };
+        self.out.finals.push(if harmless { bounced } else { Final::Forfeited { pull: id } });
         self.close(id);
+        true
     }
 
     // Guards against an effect that happens twice.
     fn may_follow(&self, held: &Held) -> bool {
-        if held.legs >= self.most_hand_offs {
-            return false;
-        }
-        let open = held.out.first().map(|out| (out.sent, &out.host));
-        let ran = held.ran.as_ref().map(|(sent, host)| (*sent, host)).or(open);
-        match (self.kinds[held.pull.workload.0].repeats, ran) {
-            (Repeats::Reissuable, _) | (_, None) => true,
-            (Repeats::AtMostOnce, Some(_)) => false,
-            (Repeats::Numbered { remembered, .. }, Some((sent, _))) => {
-                self.now + self.early < sent + remembered
+        let open = held.out.first().map(|out| out.sent);
+        let ran = held.ran.as_ref().map(|(sent, _)| *sent).or(open);
+        held.legs < self.most_hand_offs
+            && match (self.kinds[held.pull.workload.0].terms.repeats, ran) {
+                (Repeats::Reissuable, _) | (_, None) => true,
+                (Repeats::AtMostOnce, Some(_)) => false,
+                (Repeats::Numbered { remembered, .. }, Some(sent)) => {
+                    self.now + self.early < sent + remembered
+                }
             }
-        }
     }
 
     fn hand_off_what_waits(&mut self, id: PullId) -> bool {
-        let Some(held) = self.pulls.get(&id) else { return false };
-        if !held.out.is_empty() || self.now < held.not_before {
+        let waits = |held: &Held| held.out.is_empty() && self.now >= held.not_before;
+        if !self.pulls.get(&id).is_some_and(waits) {
             return false;
         }
         if !self.hand_off(id) {
@@ -593,10 +507,9 @@
             held.not_before = self.now + AGAIN;
             held.tried.clear();
             if held.promised.since(self.now).ms() < held.work {
-                self.give_up(id);
-            } else {
-                self.due.insert((held.not_before, id));
+                return self.give_up(id);
             }
+            self.due.insert((held.not_before, id));
         }
         true
     }
@@ -610,102 +523,101 @@
             return false;
         };
         out.noted = true;
-        let leg = out.leg;
-        let (host, source, sent) = (out.host.clone(), out.source.clone(), out.sent);
-        let silent = |id: &HostId| self.hosts.get(id).is_some_and(|host| host.heard < sent);
-        let culprit = [host, source].into_iter().find(silent);
+        let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard < out.sent);
+        let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
         if let Some(culprit) = culprit {
+            out.silent = true;
+            held.tried.push(culprit.clone());
             self.blame(&culprit);
-            let held = self.pulls.get_mut(&id).expect("just seen");
-            held.out.iter_mut().filter(|out| out.leg == leg).for_each(|out| out.silent = true);
-            held.tried.push(culprit);
         }
         true
     }
 
-    fn hand_off_beside_the_overdue(&mut self, id: PullId) -> bool {
+    fn hand_off_beside_the_silent(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get(&id) else { return false };
-        let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
-        let overdue = held.out.iter().all(|out| out.silent);
-        if !(self.duplicates && reissuable && overdue && self.may_follow(held)) {
-            return false;
-        }
+        let reissuable = self.kinds[held.pull.workload.0].terms.repeats == Repeats::Reissuable;
+        let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent);
         let left = held.pull.hard_stop.since(self.now).ms();
-        left > held.work + SLACK.ms() && self.hand_off(id)
-    }
-
-    fn usable(&self, host: &Host) -> bool {
-        host.line.standing == Standing::InService && host.reputation >= FLOOR
+        let allowed = self.duplicates && reissuable && silent && self.may_follow(held);
+        allowed && left > held.work + SLACK.ms() && self.hand_off(id)
     }
 
     fn ramp(&self, host: &Host) -> &Ramp {
-        if host.line.role == Role::Cache { &self.cache_ramp } else { &self.parent_ramp }
+        if host.is(Role::Cache) { &self.cache_ramp } else { &self.parent_ramp }
     }
 
     // Guards against a cold host being pushed over by all dispatchers together: each keeps to its share of
     // what the worst ramp bears within any window.
     fn cold_room(&self, host: &Host, cost: f64) -> bool {
         let ramp = self.ramp(host);
-        if !ramp.cold(host.line.started, self.now) || host.line.role == Role::Origin {
-            return true;
-        }
         let since = self.now - ramp.window;
-        let spent: f64 = host.spent.iter().filter(|(at, ..)| *at > since).map(|(.., cost)| cost).sum();
         let part = ramp.part(host.line.started, since);
-        spent + cost <= ramp.use_of * part * host.line.weight * ramp.window.ms()
+        let spent = host.spent.iter().filter(|(at, ..)| *at > since).map(|(.., cost)| cost).sum::<f64>();
+        let bears = ramp.share * part * host.line.weight * ramp.window.ms();
+        part >= 1.0 || host.is(Role::Origin) || spent + cost <= bears
     }
 
-    /// Transfers at the host over those that fit at full pace, as far as this dispatcher can know.
+    /// Pulls in hand over the places at full pace, as far as this dispatcher can know.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
         (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
     }
 
+    fn mine(&self, host: &Host) -> bool {
+        host.is(Role::Cache) && host.line.zone == Some(self.zone)
+    }
+
+    // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
+    // full only hits are asked for, and known misses wait for room, the small ones first.
+    fn link_open(&self, work: f64, mean: f64) -> bool {
+        let (full, at, sent) = self.link;
+        let places: f64 = self.hosts.values().filter(|h| self.mine(h)).map(|h| h.line.weight).sum();
+        let bias = (mean / work.max(1.0)).clamp(1.0 / LINK_BIAS, LINK_BIAS);
+        let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
+        !known || (full < LINK_FULL * bias && sent < 1.0 + places * LINK_NEW / self.zone_mates)
+    }
+
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
     fn in_hash_order(&self, role: Role, object: ObjectId) -> Vec<&Host> {
         let mine = |host: &&Host| {
-            let near = role != Role::Cache || host.line.zone == Some(self.zone);
-            host.line.role == role && near && host.line.standing == Standing::InService
+            let near = role != Role::Cache || self.mine(host);
+            host.is(role) && near && host.line.standing == Standing::InService
         };
-        let mut scored: Vec<(f64, &Host)> = Vec::new();
-        for host in self.hosts.values().filter(mine) {
+        let score = |host: &Host| {
             let draw = (mix(mix(object.0) ^ host.hash) >> 11) as f64 + 1.0;
-            let even = draw / (1u64 << 53) as f64;
-            scored.push((-even.ln() / host.line.weight.max(0.01), host));
-        }
-        scored.sort_by(|a, b| a.0.total_cmp(&b.0));
-        scored.into_iter().map(|(_, host)| host).collect()
+            -(draw / (1u64 << 53) as f64).ln() / host.line.weight.max(0.01)
+        };
+        let mut order: Vec<&Host> = self.hosts.values().filter(mine).collect();
+        order.sort_by(|a, b| score(a).total_cmp(&score(b)));
+        order
+    }
+
+    // A numbered pull that may have run stays among the hosts that drop its repeats.
+    fn in_scope(&self, held: &Held, host: &Host) -> bool {
+        let Repeats::Numbered { scope, .. } = self.kinds[held.pull.workload.0].terms.repeats else {
+            return true;
+        };
+        let Some((_, first)) = &held.ran else { return true };
+        let cell = |line: &Listed| (line.zone, if scope == Scope::Cell { line.cell } else { CellId(0) });
+        let same = |first: &Host| cell(&first.line) == cell(&host.line);
+        scope == Scope::All || self.hosts.get(first).is_some_and(same)
     }
 
     fn pick_cache(&self, held: &Held) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
-        let cost = if kind.samples < SETTLED { kind.mean_work.max(held.work) } else { kind.mean_work };
-        let trials = kind.repeats == Repeats::Reissuable && held.legs == 0;
+        let trials = kind.terms.repeats == Repeats::Reissuable && held.legs == 0;
         let allowed = |host: &&Host| {
-            let scope = match (kind.repeats, &held.ran) {
-                (Repeats::Numbered { scope, .. }, Some((_, first))) => {
-                    let first = self.hosts.get(first).map(|first| &first.line);
-                    match scope {
-                        Scope::All => true,
-                        Scope::Zone => first.is_some_and(|first| first.zone == host.line.zone),
-                        Scope::Cell => first.is_some_and(|first| {
-                            (first.zone, first.cell) == (host.line.zone, host.line.cell)
-                        }),
-                    }
-                }
-                _ => true,
-            };
             let up = host.reputation >= FLOOR || (trials && host.next_trial <= self.now);
-            scope && up && self.cold_room(host, cost) && !held.tried.contains(&host.line.host)
+            let new = !held.tried.contains(&host.line.host);
+            up && new && self.in_scope(held, host) && self.cold_room(host, kind.cost(held.work))
         };
-        let order: Vec<&Host> =
-            self.in_hash_order(Role::Cache, held.pull.object).into_iter().filter(allowed).collect();
-        let least = order.iter().min_by(|a, b| self.load(a).total_cmp(&self.load(b)))?;
-        let bound = FULL.max(self.load(least));
+        let mut order = self.in_hash_order(Role::Cache, held.pull.object);
+        order.retain(allowed);
+        let least = order.iter().map(|host| self.load(host)).min_by(f64::total_cmp)?;
         let left = held.promised.since(self.now).ms();
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            load <= bound.min(ADMIT) && (load <= FULL || load * held.work < left)
+            load <= FULL || (load <= least.min(ADMIT) && load * held.work < left)
         };
         order.iter().find(in_time).map(|host| host.line.host.clone())
     }
@@ -714,108 +626,90 @@
     // or their reputation has sunk; the shared hash picks within it, moving down on failure.
     fn pick_source(&self, held: &Held) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
-        let large = kind.parted || held.pull.size_kb.is_some_and(|kb| kb >= LARGE_KB);
-        let origin = self.in_hash_order(Role::Origin, held.pull.object).into_iter().next();
-        let fresh = |host: &&Host| !held.tried.contains(&host.line.host) && self.cold_room(host, held.work);
-        let parents: Vec<&Host> =
-            self.in_hash_order(Role::Parent, held.pull.object).into_iter().filter(fresh).collect();
-        let set = |host: &&&Host| self.usable(host) && host.beaten[usize::from(large)] < SEVERAL;
+        let measure = usize::from(kind.large(&held.pull));
+        let new = |host: &&Host| !held.tried.contains(&host.line.host) && self.cold_room(host, held.work);
+        let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL;
         let trial = |host: &&&Host| held.legs == 0 && host.next_trial <= self.now;
-        let chosen = if kind.goes_through {
-            origin.or(parents.iter().find(|host| self.usable(host)).copied())
-        } else if let Some(out) = parents.first().filter(|host| !set(host) && trial(host)) {
-            Some(*out)
-        } else if let Some(origin) = origin.as_ref().filter(|host| trial(host)) {
-            Some(*origin)
+        let origin = self.in_hash_order(Role::Origin, held.pull.object).into_iter().next();
+        let mut parents = self.in_hash_order(Role::Parent, held.pull.object);
+        parents.retain(new);
+        let first = parents.first().copied();
+        let chosen = if kind.terms.goes_through {
+            origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
-            let clear = origin.filter(|host| self.usable(host) && fresh(host));
-            parents.iter().find(set).copied().or(clear).or(parents.first().copied()).or(origin)
+            let out = first.filter(|host| !set(&host) && trial(&host));
+            let clear = origin.filter(|host| host.usable() && new(host));
+            let usual = parents.iter().find(set).copied().or(clear).or(first).or(origin);
+            out.or(origin.filter(|host| trial(&host))).or(usual)
         };
         chosen.map(|host| host.line.host.clone())
     }
 
-    fn cache_up(&self) -> bool {
-        self.hosts.values().any(|host| self.mine(host) && self.usable(host))
-    }
-
-    /// Sends a pull to the next cache in its order, or past the caches where there is none.
+    /// Sends a pull to the next cache in its order, or past the caches where none is up.
     fn hand_off(&mut self, id: PullId) -> bool {
-        let held = &self.pulls[&id];
+        let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
-        let source = self.pick_source(held);
-        let open = kind.goes_through || self.link_open(held.work, kind.mean_work);
-        if held.missed && !open {
-            return false;
-        }
-        let trial = source.as_ref().is_some_and(|id| self.hosts[id].next_trial <= self.now);
-        let cache = if kind.goes_through && self.direct { None } else { self.pick_cache(held) };
-        let (host, source) = match (cache, source) {
+        let (through, work) = (kind.terms.goes_through, held.work);
+        let open = through || self.link_open(work, kind.mean_work);
+        let straight = self.direct && (through || !self.hosts.values().any(|h| self.mine(h) && h.usable()));
+        let cache = if through && self.direct { None } else { self.pick_cache(held) };
+        let (host, source) = match (cache, self.pick_source(held)) {
+            _ if held.missed && !open => return false,
             (Some(cache), Some(source)) if open => (cache, source),
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(source)) if self.direct && (kind.goes_through || !self.cache_up()) => {
-                (source.clone(), source)
-            }
+            (None, Some(source)) if straight => (source.clone(), source),
             _ => return false,
         };
-        let oldest = self.oldest(&held.pull, kind.fresh);
-        let renew = kind.fresh.is_some() && oldest.is_none();
-        let keep = if self.seen.contains_key(&held.pull.object) { 2 } else { 1 };
-        let (work, object) = (held.work, held.pull.object);
-        let cost = if kind.samples < SETTLED { kind.mean_work.max(work) } else { kind.mean_work };
-        let slow = self.hosts.get(&host).map_or(1.0, |host| self.load(host).max(1.0));
-        let wait = self.hosts.get(&source).and_then(|source| source.latency).unwrap_or(SLACK.ms());
-        let expected = Span::of_ms(work * slow + wait);
-        let patience = expected * OVERDUE + SLACK;
-        let role = |id: &HostId| self.hosts[id].line.role;
+        let behind = &self.hosts[&source];
+        let trial = behind.next_trial <= now;
         // Guards against a stopped origin being asked on by every parent, and against fills that hold their
         // places until they time out behind it.
-        let origin_out = self
-            .hosts
-            .values()
-            .any(|h| h.line.role == Role::Origin && !self.usable(h) && h.next_trial > self.now);
-        let only_held = origin_out && role(&source) == Role::Parent && !kind.goes_through;
-        let missed = held.missed;
-        let repeatable = kind.repeats == Repeats::Reissuable;
-        let left = held.pull.hard_stop.since(self.now);
-        let allow = if repeatable && !self.duplicates { patience.min(left) } else { left };
-        let leg = Leg(held.legs);
-        for (host, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
-            let now = self.now;
-            let Some(host) = self.hosts.get_mut(host) else { continue };
-            host.in_hand += 1.0;
-            host.next_trial = now + TRIAL;
-            host.spent.push_back((now, id, leg, cost));
-            while host.spent.front().is_some_and(|(at, ..)| now.since(*at) > self.cache_ramp.window) {
-                host.spent.pop_front();
-            }
-        }
-        self.seen.insert(object, self.now);
-        self.link.2 += if missed { 1.0 } else { 0.0 };
-        self.due.insert((self.now + patience, id));
+        let stopped = |h: &Host| h.is(Role::Origin) && !h.usable() && h.next_trial > now;
+        let only_held = behind.is(Role::Parent) && !through && self.hosts.values().any(stopped);
+        let fresh = Some(kind.terms.fresh).filter(|fresh| *fresh > Span::ZERO);
+        let oldest = self.oldest(&held.pull, fresh);
+        let slow = self.load(&self.hosts[&host]).max(1.0);
+        let expected = Span::of_ms(work * slow + behind.latency.unwrap_or(SLACK.ms()));
+        let patience = expected * OVERDUE + SLACK;
+        let left = held.pull.hard_stop.since(now);
+        let cut = kind.terms.repeats == Repeats::Reissuable && !self.duplicates;
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
             source: source.clone(),
-            allow,
+            allow: if cut { patience.min(left) } else { left },
             join: self.joins,
-            renew,
+            renew: fresh.is_some() && oldest.is_none(),
             only_held,
-            unkept_at_parent: false,
             oldest,
-            keep,
+            keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
+        let (leg, cost) = (Leg(held.legs), kind.cost(work));
+        for (id_of, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
+            let Some(host) = self.hosts.get_mut(id_of) else { continue };
+            host.in_hand += 1.0;
+            host.next_trial = now + TRIAL;
+            host.spent.push_back((now, id, leg, cost));
+            let old = |(at, ..): &(Time, PullId, Leg, f64)| now.since(*at) > self.cache_ramp.window;
+            while host.spent.pop_front_if(|spent| old(spent)).is_some() {}
+        }
+        self.due.insert((now + patience, id));
         let held = self.pulls.get_mut(&id).expect("just seen");
+        self.seen.insert(held.pull.object, now);
+        self.link.2 += f64::from(u8::from(held.missed));
         held.legs += 1;
-        let (sent, overdue) = (self.now, self.now + patience);
-        held.out.push(Out { leg, host, source, sent, overdue, noted: false, silent: false, trial });
+        let (sent, overdue, noted, silent) = (now, now + patience, false, false);
+        held.out.push(Out { leg, host, source, sent, overdue, noted, silent, trial });
         true
     }
 
     // Guards against purged copies, wherever they lie: no copy from before the youngest purge will do.
     fn oldest(&self, pull: &Pull, fresh: Option<Span>) -> Option<Span> {
-        let hit = |purge: &&Purge| purge.group == pull.group && purge.object.is_none_or(|o| o == pull.object);
-        let made = self.purges.iter().filter(hit).map(|purge| purge.made).max()?;
-        let age = self.now.since(made).less(Span::from_ms(1)).max(Span::from_ms(1));
-        (fresh.is_none_or(|fresh| age < fresh)).then_some(age)
+        let hit = |(object, group, _): &&(Option<ObjectId>, GroupId, Time)| {
+            object.map_or(*group == pull.group, |object| object == pull.object)
+        };
+        let made = self.purges.iter().filter(hit).map(|(.., made)| *made).max()?;
+        let age = self.now.since(made).less(HAIR).max(HAIR);
+        fresh.is_none_or(|fresh| age < fresh).then_some(age)
     }
 }
--- a/src/words.rs
+++ b/src/words.rs
@@ -299,8 +299,6 @@
     pub renew: bool,
     /// The source gives only what it holds.
     pub only_held: bool,
-    /// The parent keeps no copy.
-    pub unkept_at_parent: bool,
     /// The oldest copy that will do; none for the workload's fresh time.
     pub oldest: Option<Span>,
     /// 0 passes the object through, 1 to 3 is the rank at which it is kept.
