--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -172,7 +172,6 @@
         let family = params.inner("family_info")?;
         let allowed = params.inner("allowed")?;
         let rules = params.inner("rules")?;
-        let prices = params.inner("prices")?;
         let zones = params.texts("zones")?;
         let kinds = params.texts("kinds")?;
         let zone = params.text("zone")?;
@@ -185,8 +184,7 @@
         };
         let classes = params.rows("request_classes")?;
         let (parted, through) = (family.flags("class_parts")?, family.flags("goes_through")?);
-        let (fresh, older) = (family.numbers("max_age_ms")?, family.numbers("older_by_ms")?);
-        let aged = family.numbers("aged_worth")?;
+        let fresh = family.numbers("max_age_ms")?;
         let mut names = Vec::new();
         let mut workloads = Vec::new();
         for (at, class) in classes.iter().enumerate() {
@@ -195,15 +193,10 @@
             workloads.push(Workload {
                 promised: class.span("objective_ms")?,
                 stretch: class.number_or("aim_stretch", 0.0)?,
-                hard_stop: class.span("deadline_ms")?,
                 repeats: repeats(&class)?,
-                gain: class.number_or("worth", 1.0)?,
-                late_gain: class.number_or("late_value", 0.0)?,
                 goes_through: through.get(at).copied().unwrap_or(false),
                 parted: parted.get(at).copied().unwrap_or(false),
                 fresh: Span::of_ms(fresh.get(at).copied().unwrap_or(0.0)),
-                older_by: Span::of_ms(older.get(at).copied().unwrap_or(0.0)),
-                aged_gain: aged.get(at).copied().unwrap_or(0.0),
             });
         }
         let parent_kind = kind_place(family.number_or_none("shield_kind")?);
@@ -213,13 +206,11 @@
             zone_dispatchers: family.numbers("count_by_zone")?.iter().map(|n| *n as u32).collect(),
             dispatchers,
             tick: params.span("tick_ms")?,
-            answer_slack: rules.span_or_zero("answer_slack_ms")?,
             may_cancel: allowed.flag_or_false("cancel")?,
             may_duplicate: allowed.flag_or_false("may_duplicate")?,
             may_name_return: allowed.flag_or_false("retry_after")?,
             longest_return: allowed.span_or_zero("max_retry_after_ms")?,
             most_hand_offs: allowed.number("max_attempts")? as u32,
-            connect_limit: allowed.span_or_zero("connect_timeout_ms")?,
             cold_from: rules.number("cold_from")?,
             warm_within: rules.span("warm_within_ms")?,
             overload_factor: rules.number("overload_factor")?,
@@ -227,27 +218,11 @@
             parent_cold_from: family.number_or("upper_cold_from", 0.0)?,
             parent_warm_within: family.span_or_zero("upper_cold_ms")?,
             parent_overload_factor: family.number_or("upper_fall_multiple", 0.0)?,
-            has_parents: parent_kind.is_some(),
             direct: family.flag_or_false("direct")?,
             joins: family.flag_or_false("collapses")?,
-            neighbours: match family.text_or_none("neighbours")? {
-                Some("any") => Neighbours::Any,
-                Some("location") => Neighbours::Location,
-                Some("off") | None => Neighbours::Off,
-                Some(other) => return Err(format!("unknown neighbours {other}")),
-            },
             client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
-            origin_fall_multiple: family.number_or("origin_fall_multiple", 0.0)?,
-            origin_fall_window: family.span_or_zero("origin_fall_ms")?,
-            purge_grace: family.span_or_zero("purge_grace_ms")?,
             purge_settles: family.span_or_zero("purge_settles_ms")?,
-            load_in_hand: place(&report, "outstanding"),
-            load_busy: place(&report, "utilization"),
             load_link: place(&report, "x1"),
-            waste_price: prices.number_or("waste", 0.0)?,
-            late_price: prices.number_or("late_fail", 0.0)?,
-            origin_price: prices.number_or("origin", 0.0)?,
-            inlet_price: family.number_or("inlet_cost", 0.0)?,
         };
         let (brain, decisions) = Brain::start(now, seed, terms);
         let origin_kind = kind_place(family.number_or_none("source_kind")?);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -523,7 +523,7 @@
             return false;
         };
         out.noted = true;
-        let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard < out.sent);
+        let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard <= out.sent);
         let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
         if let Some(culprit) = culprit {
             out.silent = true;
--- a/src/words.rs
+++ b/src/words.rs
@@ -115,26 +115,12 @@
     pub promised: Span,
     /// The promised time grows by this multiple of the pull's sending time.
     pub stretch: f64,
-    pub hard_stop: Span,
     pub repeats: Repeats,
-    pub gain: f64,
-    pub late_gain: f64,
     /// Runs at the origin and is never kept.
     pub goes_through: bool,
     pub parted: bool,
     /// How long a copy is fresh; zero if it is until it is purged.
     pub fresh: Span,
-    /// How much older than fresh a copy may be when asked for.
-    pub older_by: Span,
-    pub aged_gain: f64,
-}
-
-/// Which caches may be the source of a fill.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Neighbours {
-    Off,
-    Location,
-    Any,
 }
 
 /// What an instance is handed at start.
@@ -146,13 +132,11 @@
     pub zone_dispatchers: Vec<u32>,
     pub dispatchers: u32,
     pub tick: Span,
-    pub answer_slack: Span,
     pub may_cancel: bool,
     pub may_duplicate: bool,
     pub may_name_return: bool,
     pub longest_return: Span,
     pub most_hand_offs: u32,
-    pub connect_limit: Span,
     pub cold_from: f64,
     pub warm_within: Span,
     pub overload_factor: f64,
@@ -160,23 +144,12 @@
     pub parent_cold_from: f64,
     pub parent_warm_within: Span,
     pub parent_overload_factor: f64,
-    pub has_parents: bool,
     pub direct: bool,
     pub joins: bool,
-    pub neighbours: Neighbours,
     pub client_kb_per_s: f64,
-    pub origin_fall_multiple: f64,
-    pub origin_fall_window: Span,
-    pub purge_grace: Span,
     pub purge_settles: Span,
-    /// Places of the load report's figures in [`Ended::load`].
-    pub load_in_hand: Option<usize>,
-    pub load_busy: Option<usize>,
+    /// Where in [`Ended::load`] the fullness of the location's link stands.
     pub load_link: Option<usize>,
-    pub waste_price: f64,
-    pub late_price: f64,
-    pub origin_price: f64,
-    pub inlet_price: f64,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
--- /dev/null
+++ b/tests/fake/mod.rs
@@ -0,0 +1,138 @@
+//! One tiny fake location: a dispatcher's brain, a clock and the hosts that answer it.
+
+use flaxdeck::brain::Brain;
+use flaxdeck::words::*;
+
+pub struct Fake {
+    pub brain: Brain,
+    pub now: Time,
+    pub finals: Vec<Final>,
+    pub cancels: Vec<Cancel>,
+    pub sent: Vec<(Leg, HandOff)>,
+    next: u64,
+}
+
+pub fn host(name: &str) -> HostId {
+    HostId(name.into())
+}
+
+pub fn line(name: &str, role: Role) -> Listed {
+    let zone = Some(ZoneId(if role == Role::Cache { 0 } else { 1 }));
+    let (standing, started, cell) = (Standing::InService, None, CellId(name.len() as u64));
+    Listed { host: host(name), weight: 5.0, zone, cell, role, standing, started }
+}
+
+pub fn workload(repeats: Repeats) -> Workload {
+    Workload {
+        promised: Span::from_ms(500),
+        stretch: 2.0,
+        repeats,
+        goes_through: repeats == Repeats::AtMostOnce,
+        parted: false,
+        fresh: Span::ZERO,
+    }
+}
+
+pub fn terms() -> Terms {
+    let numbered = Repeats::Numbered { scope: Scope::Cell, remembered: Span::from_ms(2000) };
+    Terms {
+        workloads: [Repeats::Reissuable, Repeats::AtMostOnce, numbered].map(workload).to_vec(),
+        zone: ZoneId(0),
+        zone_dispatchers: vec![1, 0],
+        dispatchers: 2,
+        tick: Span::from_ms(2),
+        may_cancel: true,
+        may_duplicate: true,
+        may_name_return: true,
+        longest_return: Span::from_ms(1000),
+        most_hand_offs: 6,
+        cold_from: 0.2,
+        warm_within: Span::from_ms(10_000),
+        overload_factor: 2.0,
+        fall_window: Span::from_ms(2000),
+        parent_cold_from: 0.1,
+        parent_warm_within: Span::from_ms(10_000),
+        parent_overload_factor: 2.0,
+        direct: true,
+        joins: true,
+        client_kb_per_s: 1000.0,
+        purge_settles: Span::from_ms(6000),
+        load_link: Some(0),
+    }
+}
+
+/// Two caches, two parents and the origin.
+pub fn usual() -> Vec<Listed> {
+    let roles = [Role::Cache, Role::Cache, Role::Parent, Role::Parent, Role::Origin];
+    ["a", "bb", "p", "q", "o"].iter().zip(roles).map(|(name, role)| line(name, role)).collect()
+}
+
+impl Fake {
+    pub fn new(terms: Terms, hosts: Vec<Listed>) -> Fake {
+        let now = Time::at_ms(100_000.0);
+        let (brain, _) = Brain::start(now, 7, terms);
+        let (finals, cancels, sent) = (Vec::new(), Vec::new(), Vec::new());
+        let mut fake = Fake { brain, now, finals, cancels, sent, next: 0 };
+        fake.list(hosts);
+        fake
+    }
+
+    fn apply(&mut self, decisions: Decisions) {
+        self.cancels.extend(decisions.cancels);
+        self.finals.extend(decisions.finals);
+        for sent in decisions.hand_offs {
+            let leg = self.sent.iter().filter(|(_, earlier)| earlier.pull == sent.pull).count();
+            self.sent.push((Leg(leg as u32), sent));
+        }
+    }
+
+    pub fn list(&mut self, hosts: Vec<Listed>) {
+        let decisions = self.brain.list(self.now, Coverage::Changes, hosts);
+        self.apply(decisions);
+    }
+
+    /// Lets so many milliseconds pass, waking the brain at each.
+    pub fn pass(&mut self, ms: u64) {
+        for _ in 0..ms {
+            self.now = self.now + Span::from_ms(1);
+            let decisions = self.brain.wake(self.now);
+            self.apply(decisions);
+        }
+    }
+
+    /// A pull of 100 KB, so 100 ms; gives the place of its first hand-off, should there be one.
+    pub fn pull(&mut self, workload: usize, object: u64) -> usize {
+        self.pull_of(workload, object, 100.0)
+    }
+
+    pub fn pull_of(&mut self, workload: usize, object: u64, kb: f64) -> usize {
+        self.next += 1;
+        let (at, id, hard_stop) = (self.sent.len(), PullId(self.next), self.now + Span::from_ms(4000));
+        let (workload, object, group) = (WorkloadId(workload), ObjectId(object), GroupId(object % 4));
+        let pull = Pull { id, workload, object, part: 0, group, size_kb: Some(kb), hard_stop };
+        let decisions = self.brain.pull(self.now, pull);
+        self.apply(decisions);
+        at
+    }
+
+    pub fn end(&mut self, at: usize, ending: Ending, told: Told, waited: u64) {
+        self.end_with(at, ending, told, waited, Vec::new());
+    }
+
+    pub fn end_with(&mut self, at: usize, ending: Ending, told: Told, waited: u64, load: Vec<f64>) {
+        let (leg, sent) = self.sent[at].clone();
+        let waited = Some(Span::from_ms(waited));
+        let (took, closed) = (Span::from_ms(1100), ending == Ending::Answered);
+        let ended = Ended { pull: sent.pull, leg, host: sent.host, ending, took, closed, told, waited, load };
+        let decisions = self.brain.hand_off_ended(self.now, ended);
+        self.apply(decisions);
+    }
+
+    /// A pull that is answered at once; gives its source.
+    pub fn fill(&mut self, object: u64, kb: f64, told: Told, waited: impl Fn(&HostId) -> u64) -> HostId {
+        let at = self.pull_of(0, object, kb);
+        let source = self.sent[at].1.source.clone();
+        self.end(at, Ending::Answered, told, waited(&source));
+        source
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,246 @@
+//! Short stories: one for each failure met.
+
+mod fake;
+
+use fake::*;
+use flaxdeck::words::*;
+
+fn is_parent(id: &HostId) -> bool {
+    [host("p"), host("q")].contains(id)
+}
+
+#[test]
+fn an_object_goes_to_the_same_cache_and_parent_at_every_dispatcher() {
+    let (mut one, mut other) = (Fake::new(terms(), usual()), Fake::new(terms(), usual()));
+    for object in 1..40 {
+        let (at, there) = (one.pull(0, object), other.pull(0, object));
+        assert_eq!(one.sent[at].1.host, other.sent[there].1.host);
+        assert_eq!(one.sent[at].1.source, other.sent[there].1.source);
+        assert!(is_parent(&one.sent[at].1.source));
+        one.end(at, Ending::Answered, Told::Held, 0);
+        other.end(there, Ending::Answered, Told::Held, 0);
+    }
+}
+
+#[test]
+fn a_failing_parent_gets_trials_only_and_comes_back_by_one() {
+    let mut fake = Fake::new(terms(), usual());
+    for object in 0..40 {
+        let at = fake.pull(0, object);
+        let bad = fake.sent[at].1.source == host("p");
+        let ending = if bad { Ending::TurnedAway } else { Ending::Answered };
+        fake.end(at, ending, if bad { Told::SourceUnreached } else { Told::Filled }, 20);
+    }
+    fake.pass(200);
+    let before = fake.sent.len();
+    for object in 0..40 {
+        fake.fill(object, 100.0, Told::Filled, |_| 20);
+    }
+    assert!(fake.sent[before..].iter().all(|(_, sent)| sent.source != host("p")));
+    fake.pass(6000);
+    let used =
+        |fake: &mut Fake| (0..40).filter(|o| fake.fill(*o, 100.0, Told::Filled, |_| 20) == host("p")).count();
+    assert!(used(&mut fake) > 1, "one good trial lifts it over the floor");
+}
+
+#[test]
+fn the_origin_gets_small_fills_only_where_it_clearly_beats_a_parent_for_several() {
+    for (origin_ms, bypassed) in [(17, false), (5, true)] {
+        let mut fake = Fake::new(terms(), usual());
+        let waited = |id: &HostId| if *id == host("o") { origin_ms } else { 20 };
+        for object in 0..100 {
+            fake.fill(object, 100.0, Told::Filled, waited);
+            fake.pass(100);
+        }
+        let late = (0..40).filter(|o| fake.fill(*o, 100.0, Told::Filled, waited) == host("o")).count();
+        assert_eq!(late > 30, bypassed, "{late} of 40 past the parents at {origin_ms} ms");
+        assert!(fake.sent.iter().any(|(_, sent)| sent.source == host("o")), "the origin has its trials");
+    }
+}
+
+#[test]
+fn bandwidth_decides_for_large_objects() {
+    let mut fake = Fake::new(terms(), usual());
+    // All take 1100 ms: the wait of the origin is long, so its transfers are the quicker.
+    let waited = |id: &HostId| if *id == host("o") { 800 } else { 20 };
+    for object in 0..100 {
+        fake.fill(object, 1500.0, Told::Filled, waited);
+        fake.pass(100);
+    }
+    let large = (0..40).filter(|o| fake.fill(*o, 1500.0, Told::Filled, waited) == host("o")).count();
+    let small = (0..40).filter(|o| fake.fill(*o, 100.0, Told::Filled, waited) == host("o")).count();
+    assert!(large > 30 && small < 3, "{large} large and {small} small fills past the parents");
+}
+
+#[test]
+fn a_silent_cache_is_passed_by_and_a_slow_one_is_not() {
+    let mut fake = Fake::new(terms(), usual());
+    let at = fake.pull(0, 1);
+    let cache = fake.sent[at].1.host.clone();
+    fake.pass(1500);
+    assert_eq!(fake.sent.len(), 2, "a second copy beside the silent one");
+    assert_ne!(fake.sent[1].1.host, cache);
+    fake.end(1, Ending::Answered, Told::Held, 0);
+    assert_eq!(fake.cancels, vec![Cancel { pull: fake.sent[0].1.pull, leg: Leg(0) }]);
+
+    let mut fake = Fake::new(terms(), usual());
+    fake.pull(0, 1);
+    for _ in 0..15 {
+        fake.pass(100);
+        fake.fill(1, 100.0, Told::Filled, |_| 20);
+    }
+    assert_eq!(fake.sent.len(), 16, "no second copy: the cache and the source go on answering others");
+}
+
+#[test]
+fn an_at_most_once_pull_that_may_have_run_is_never_sent_again_nor_bounced() {
+    for ending in [Ending::TimedOut, Ending::Errored, Ending::Broken] {
+        let mut fake = Fake::new(terms(), usual());
+        let at = fake.pull(1, 1);
+        assert_eq!(fake.sent[at].1.host, host("o"));
+        fake.pass(2000);
+        fake.end(at, ending, Told::Nothing, 0);
+        fake.pass(3000);
+        assert_eq!(fake.sent.len(), 1);
+        assert_eq!(fake.finals, vec![Final::Forfeited { pull: PullId(1) }]);
+    }
+    let mut fake = Fake::new(terms(), usual());
+    let at = fake.pull(1, 1);
+    fake.end(at, Ending::TurnedAway, Told::Nothing, 0);
+    fake.pass(200);
+    assert_eq!(fake.sent.len(), 2, "a refusal proves that nothing ran");
+}
+
+#[test]
+fn a_numbered_pull_that_may_have_run_stays_in_its_cell_while_that_remembers() {
+    let mut hosts = usual();
+    hosts.extend([line("cc", Role::Cache), line("dd", Role::Cache)]);
+    let mut fake = Fake::new(terms(), hosts);
+    for object in 0..20 {
+        let at = fake.pull(2, object);
+        let first = fake.sent[at].1.host.clone();
+        fake.end(at, Ending::Errored, Told::Nothing, 0);
+        for (_, again) in &fake.sent[at + 1..] {
+            assert_eq!(again.host.0.len(), first.0.len(), "the fake's cells go by the length of names");
+            assert_ne!(again.host, first);
+        }
+        fake.pass(4000);
+    }
+    assert!(fake.finals.iter().all(|last| matches!(last, Final::Forfeited { .. })));
+    assert!(fake.sent.len() > 20, "some went to a second host of the cell");
+}
+
+#[test]
+fn nothing_new_goes_to_a_draining_host_nor_names_it_as_source() {
+    let mut fake = Fake::new(terms(), usual());
+    let draining = |name, role| Listed { standing: Standing::Draining, ..line(name, role) };
+    fake.list(vec![draining("a", Role::Cache), draining("p", Role::Parent)]);
+    for object in 0..40 {
+        fake.fill(object, 100.0, Told::Filled, |_| 20);
+    }
+    assert!(fake.sent.iter().all(|(_, s)| s.host == host("bb") && s.source != host("p")));
+}
+
+#[test]
+fn a_cold_cache_and_a_cold_parent_get_this_dispatchers_share_and_no_more() {
+    let mut fake = Fake::new(terms(), usual());
+    fake.pass(3000);
+    let cold = |name, role| Listed { started: Some(Time::at_ms(103_000.0)), ..line(name, role) };
+    fake.list(vec![cold("a", Role::Cache), cold("p", Role::Parent)]);
+    for object in 0..400 {
+        fake.fill(object, 100.0, Told::Filled, |_| 20);
+    }
+    let at_cache = fake.sent.iter().filter(|(_, sent)| sent.host == host("a")).count();
+    let at_parent = fake.sent.iter().filter(|(_, sent)| sent.source == host("p")).count();
+    // 5 places x 0.2 cold x 2 times x 2 s hold 40 transfers of 100 ms; at the parent 20, for two dispatchers.
+    assert!((10..40).contains(&at_cache), "{at_cache} to the cold cache");
+    assert!((3..10).contains(&at_parent), "{at_parent} to the cold parent");
+}
+
+#[test]
+fn a_restarted_dispatcher_takes_the_cold_hosts_window_as_spent() {
+    let cold = |l: Listed| Listed { started: Some(Time::at_ms(99_000.0)), ..l };
+    let mut fake = Fake::new(terms(), usual().into_iter().map(cold).collect());
+    fake.pull(0, 1);
+    assert!(fake.sent.is_empty());
+    fake.pass(2100);
+    fake.pull(0, 2);
+    assert!(!fake.sent.is_empty(), "the window has passed");
+}
+
+#[test]
+fn no_copy_older_than_a_purge_will_do_until_it_has_settled() {
+    let mut fake = Fake::new(terms(), usual());
+    let made = fake.now;
+    fake.pass(50);
+    fake.brain.purge(fake.now, Some(ObjectId(1)), GroupId(1), made);
+    fake.brain.purge(fake.now, None, GroupId(2), made);
+    fake.pass(200);
+    for (object, held_to) in [(1, true), (2, true), (6, true), (5, false)] {
+        let at = fake.pull(0, object);
+        let oldest = fake.sent[at].1.oldest;
+        assert_eq!(oldest.is_some(), held_to, "object {object}");
+        assert!(oldest.is_none_or(|oldest| oldest < fake.now.since(made)));
+        fake.end(at, Ending::Answered, Told::Held, 0);
+    }
+    fake.pass(8000);
+    let at = fake.pull(0, 1);
+    assert_eq!(fake.sent[at].1.oldest, None);
+}
+
+#[test]
+fn every_pull_gets_one_answer_before_its_hard_stop_whatever_is_up() {
+    let nothing = Vec::new();
+    let only_caches = usual().into_iter().filter(|line| line.role == Role::Cache).collect();
+    for hosts in [nothing, only_caches, usual()] {
+        let mut fake = Fake::new(terms(), hosts);
+        for workload in [0, 1, 2] {
+            fake.pull(workload, 9);
+        }
+        fake.pass(3995);
+        assert_eq!(fake.finals.len(), 3);
+        let sent = fake.sent.len();
+        fake.pass(2000);
+        assert_eq!((fake.finals.len(), fake.sent.len()), (3, sent));
+    }
+}
+
+#[test]
+fn while_the_link_is_full_only_hits_are_asked_for_and_misses_wait() {
+    let mut fake = Fake::new(terms(), usual());
+    let at = fake.pull(0, 1);
+    fake.end_with(at, Ending::Answered, Told::Held, 0, vec![20.0]);
+    let at = fake.pull(0, 2);
+    assert_eq!(fake.sent[at].1.source, fake.sent[at].1.host, "no fill");
+    fake.end_with(at, Ending::NoCopy, Told::Nothing, 0, vec![20.0]);
+    fake.pass(300);
+    assert_eq!(fake.sent.len(), at + 1, "the known miss waits");
+    let hit = fake.pull(0, 3);
+    fake.end_with(hit, Ending::Answered, Told::Held, 0, vec![0.5]);
+    fake.pass(300);
+    assert!(is_parent(&fake.sent.last().unwrap().1.source), "there is room again");
+}
+
+#[test]
+fn behind_a_stopped_origin_parents_give_only_what_they_hold() {
+    let mut fake = Fake::new(terms(), usual());
+    for object in 0..3 {
+        let at = fake.pull(0, object);
+        fake.end(at, Ending::TurnedAway, Told::OriginFailed, 900);
+    }
+    let at = fake.pull(0, 9);
+    assert!(fake.sent[at].1.only_held && is_parent(&fake.sent[at].1.source), "and no parent is blamed");
+}
+
+#[test]
+fn under_overload_what_cannot_come_in_time_bounces_and_small_pulls_go_on() {
+    let mut fake = Fake::new(terms(), usual());
+    for object in 0..30 {
+        fake.pull_of(0, object, 3000.0);
+    }
+    assert!(fake.sent.len() < 30, "the large ones are held back");
+    let small = fake.pull_of(0, 99, 10.0);
+    assert_eq!(fake.sent.len(), small + 1, "a small one finds room");
+    fake.pass(3500);
+    assert!(fake.finals.iter().any(|last| matches!(last, Final::Bounced { come_back: Some(_), .. })));
+}
