--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,8 +26,8 @@
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
-const COLD_USE: f64 = 0.6; // share of the fall multiple that may be used: chance and late news take the rest
-const COLD_MOST: f64 = 1.2; // times its present capacity that a cold host is asked for: more is only queued
+const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
+const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
