--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,7 @@
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
-const LINK_FULL: f64 = 1.7; // transfers on the location's link over those that fit; more only slows all
+const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
