--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,7 +23,8 @@
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
-const LINK_MOST: f64 = 5.0; // the same at which only hits are asked for: twice the above
+const LINK_LARGE: f64 = 0.8; // least part of that at which a large pull stops: one alone fills a link for long
+const LINK_SMALL: f64 = 2.0; // most by which a small pull may go on longer: it is soon over
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
@@ -568,14 +569,13 @@
     }
 
     // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
-    // full only hits are asked for, and known misses wait for room, but for those that still come in time.
-    fn link_open(&self, held: &Held) -> bool {
-        let (load, at, sent) = self.link;
+    // full only hits are asked for, and known misses wait for room, the small ones first.
+    fn link_open(&self, work: f64, mean: f64) -> bool {
+        let (full, at, sent) = self.link;
         let places: f64 = self.hosts.values().filter(|h| self.mine(h)).map(|h| h.line.weight).sum();
+        let bias = (mean / work.max(1.0)).clamp(LINK_LARGE, LINK_SMALL);
         let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
-        let in_time = load / LINK_FULL * held.work < held.promised.since(self.now).ms();
-        let open = load < LINK_FULL || (load < LINK_MOST && in_time);
-        !known || (open && sent < 1.0 + places * LINK_NEW / self.zone_mates)
+        !known || (full < LINK_FULL * bias && sent < 1.0 + places * LINK_NEW / self.zone_mates)
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
@@ -651,7 +651,7 @@
         let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.terms.goes_through, held.work);
-        let open = through || self.link_open(held);
+        let open = through || self.link_open(work, kind.mean_work);
         let straight = self.direct && (through || !self.hosts.values().any(|h| self.mine(h) && h.usable()));
         let cache = if through && self.direct { None } else { self.pick_cache(held) };
         let (host, source) = match (cache, self.pick_source(held)) {
