--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,8 +23,7 @@
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
-const LINK_LARGE: f64 = 0.8; // least part of that at which a large pull stops: one alone fills a link for long
-const LINK_SMALL: f64 = 2.0; // most by which a small pull may go on longer: it is soon over
+const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
@@ -573,7 +572,7 @@
     fn link_open(&self, work: f64, mean: f64) -> bool {
         let (full, at, sent) = self.link;
         let places: f64 = self.hosts.values().filter(|h| self.mine(h)).map(|h| h.line.weight).sum();
-        let bias = (mean / work.max(1.0)).clamp(LINK_LARGE, LINK_SMALL);
+        let bias = (mean / work.max(1.0)).clamp(1.0 / LINK_BIAS, LINK_BIAS);
         let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
         !known || (full < LINK_FULL * bias && sent < 1.0 + places * LINK_NEW / self.zone_mates)
     }
