A pull past the caches names the origin behind its parent

Cause: with a whole location lost, a parent asked for itself alone gave only what it held (a miss otherwise). Such pulls no longer count as fills in the ratings, and weigh their own size at a cold parent.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -356,7 +356,8 @@
     fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
         use Ending::*;
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
-        let (now, behind) = (self.now, out.source != out.host);
+        let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
+        let (now, behind) = (self.now, cached && out.source != out.host);
         match ended.ending {
             Answered => {
                 self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.praise(now));
@@ -653,11 +654,13 @@
         let open = through || self.link_open(work, kind.mean_work);
         let straight = self.direct && (through || !self.hosts.values().any(|h| self.mine(h) && h.usable()));
         let cache = if through && self.direct { None } else { self.pick_cache(held) };
+        let origin =
+            self.hosts.values().find(|h| h.is(Role::Origin) && h.usable()).map(|h| h.line.host.clone());
         let (host, source) = match (cache, self.pick_source(held)) {
             _ if held.missed && !open => return false,
             (Some(cache), Some(source)) if open => (cache, source),
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(source)) if straight => (source.clone(), source),
+            (None, Some(first)) if straight => (first.clone(), origin.unwrap_or(first)),
             _ => return false,
         };
         let behind = &self.hosts[&source];
@@ -684,7 +687,8 @@
             oldest,
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
-        let (leg, cost) = (Leg(held.legs), kind.cost(work));
+        let cost = if self.hosts[&host].is(Role::Cache) { kind.cost(work) } else { work };
+        let leg = Leg(held.legs);
         for (id_of, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
             let Some(host) = self.hosts.get_mut(id_of) else { continue };
             host.in_hand += 1.0;
