--- a/src/brain.rs
+++ b/src/brain.rs
@@ -95,6 +95,8 @@
     heard: Time,
     latency: Option<f64>,
     bandwidth: Option<f64>,
+    /// The location's link by its last report.
+    link: Option<f64>,
     /// Fills in a row in which the origin beat it, by latency and by bandwidth.
     beaten: [u32; 2],
     in_hand: f64,
@@ -106,8 +108,8 @@
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
-        let (latency, bandwidth, beaten, heard) = (None, None, [0; 2], now);
-        Host { line, hash, reputation, next_trial, heard, latency, bandwidth, beaten, in_hand, spent }
+        let (latency, bandwidth, link, beaten, heard) = (None, None, None, [0; 2], now);
+        Host { line, hash, reputation, next_trial, heard, latency, bandwidth, link, beaten, in_hand, spent }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -338,9 +340,12 @@
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
-        let link = self.link_place.and_then(|place| ended.load.get(place));
-        if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
-            self.link = (*link, self.now, 0.0);
+        let link = self.link_place.and_then(|place| ended.load.get(place)).copied();
+        let cache = self.hosts.get_mut(&out.host).filter(|host| host.is(Role::Cache));
+        if let (Some(link), Some(cache)) = (link, cache) {
+            // The same figure again is the same report again: what was sent since still comes on top.
+            let sent = if cache.link.replace(link) == Some(link) { self.link.2 } else { 0.0 };
+            self.link = (link, self.now, sent);
         }
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
