--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,6 +25,7 @@
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
+const LINK_NEWS: Span = Span::from_ms(500); // after which the same report again is taken for a new one
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
@@ -344,8 +345,8 @@
         let cache = self.hosts.get_mut(&out.host).filter(|host| host.is(Role::Cache));
         if let (Some(link), Some(cache)) = (link, cache) {
             // The same figure again is the same report again: what was sent since still comes on top.
-            let sent = if cache.link.replace(link) == Some(link) { self.link.2 } else { 0.0 };
-            self.link = (link, self.now, sent);
+            let same = cache.link.replace(link) == Some(link) && self.now.since(self.link.1) < LINK_NEWS;
+            self.link = if same { (link, self.link.1, self.link.2) } else { (link, self.now, 0.0) };
         }
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
