--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,6 @@
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
-const LINK_NEWS: Span = Span::from_ms(500); // after which the same report again is taken for a new one
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
@@ -96,8 +95,6 @@
     heard: Time,
     latency: Option<f64>,
     bandwidth: Option<f64>,
-    /// The location's link by its last report.
-    link: Option<f64>,
     /// Fills in a row in which the origin beat it, by latency and by bandwidth.
     beaten: [u32; 2],
     in_hand: f64,
@@ -109,8 +106,8 @@
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
-        let (latency, bandwidth, link, beaten, heard) = (None, None, None, [0; 2], now);
-        Host { line, hash, reputation, next_trial, heard, latency, bandwidth, link, beaten, in_hand, spent }
+        let (latency, bandwidth, beaten, heard) = (None, None, [0; 2], now);
+        Host { line, hash, reputation, next_trial, heard, latency, bandwidth, beaten, in_hand, spent }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -341,12 +338,9 @@
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
-        let link = self.link_place.and_then(|place| ended.load.get(place)).copied();
-        let cache = self.hosts.get_mut(&out.host).filter(|host| host.is(Role::Cache));
-        if let (Some(link), Some(cache)) = (link, cache) {
-            // The same figure again is the same report again: what was sent since still comes on top.
-            let same = cache.link.replace(link) == Some(link) && self.now.since(self.link.1) < LINK_NEWS;
-            self.link = if same { (link, self.link.1, self.link.2) } else { (link, self.now, 0.0) };
+        let link = self.link_place.and_then(|place| ended.load.get(place));
+        if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
+            self.link = (*link, self.now, 0.0);
         }
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
@@ -610,7 +604,7 @@
         scope == Scope::All || self.hosts.get(first).is_some_and(same)
     }
 
-    fn pick_cache(&self, held: &Held) -> Option<HostId> {
+    fn pick_cache(&self, held: &Held, full: f64) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
         let trials = kind.terms.repeats == Repeats::Reissuable && held.legs == 0;
         let allowed = |host: &&Host| {
@@ -624,7 +618,7 @@
         let left = held.promised.since(self.now).ms();
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            load <= FULL || (load <= least.min(ADMIT) && load * held.work < left)
+            load <= full || (load <= least.min(ADMIT) && load * held.work < left)
         };
         order.iter().find(in_time).map(|host| host.line.host.clone())
     }
@@ -659,7 +653,11 @@
         let (through, work) = (kind.terms.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
         let straight = self.direct && (through || !self.hosts.values().any(|h| self.mine(h) && h.usable()));
-        let cache = if through && self.direct { None } else { self.pick_cache(held) };
+        let cache = if through && self.direct {
+            None
+        } else {
+            self.pick_cache(held, if open { FULL } else { ADMIT })
+        };
         let origin =
             self.hosts.values().find(|h| h.is(Role::Origin) && h.usable()).map(|h| h.line.host.clone());
         let (host, source) = match (cache, self.pick_source(held)) {
