On a full link the hash is kept to for what still comes in time there

Cause: with the link full, a pull moved down the hash asks a cache that has no copy and may not fill one.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -604,7 +604,7 @@
         scope == Scope::All || self.hosts.get(first).is_some_and(same)
     }
 
-    fn pick_cache(&self, held: &Held, full: f64) -> Option<HostId> {
+    fn pick_cache(&self, held: &Held, open: bool) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
         let trials = kind.terms.repeats == Repeats::Reissuable && held.legs == 0;
         let allowed = |host: &&Host| {
@@ -615,10 +615,12 @@
         let mut order = self.in_hash_order(Role::Cache, held.pull.object);
         order.retain(allowed);
         let least = order.iter().map(|host| self.load(host)).min_by(f64::total_cmp)?;
+        // On a full link only the cache that may hold it helps, so the hash is kept to for longer.
+        let most = if open { least.min(ADMIT) } else { ADMIT };
         let left = held.promised.since(self.now).ms();
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            load <= full || (load <= least.min(ADMIT) && load * held.work < left)
+            load <= FULL || (load <= most && load * held.work < left)
         };
         order.iter().find(in_time).map(|host| host.line.host.clone())
     }
@@ -653,11 +655,7 @@
         let (through, work) = (kind.terms.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
         let straight = self.direct && (through || !self.hosts.values().any(|h| self.mine(h) && h.usable()));
-        let cache = if through && self.direct {
-            None
-        } else {
-            self.pick_cache(held, if open { FULL } else { ADMIT })
-        };
+        let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
         let origin =
             self.hosts.values().find(|h| h.is(Role::Origin) && h.usable()).map(|h| h.line.host.clone());
         let (host, source) = match (cache, self.pick_source(held)) {
