--- a/src/brain.rs
+++ b/src/brain.rs
@@ -357,6 +357,11 @@
         use Ending::*;
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
         let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
+        // Whatever a host answers, a failed fill too, shows that it is not silent.
+        let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
+        if let Some(host) = self.hosts.get_mut(&out.host).filter(|_| alive) {
+            host.heard = self.now;
+        }
         let (now, behind) = (self.now, cached && out.source != out.host);
         match ended.ending {
             Answered => {
@@ -374,7 +379,6 @@
                 }
             }
             _ if matches!(ended.told, Told::SourceRefused | Told::SourceUnreached) && behind => {
-                self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.heard = now);
                 self.blame(&out.source);
             }
             Errored | NotConnected | Broken => self.blame(&out.host),
