--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,6 +28,10 @@
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
+const WINDOW: f64 = 4.0; // fills out at the origin at first: few, as all dispatchers turn there together
+const NARROWED: f64 = 0.8; // left of that after a slow or failed fill
+const SLOWED: f64 = 2.0; // times the shortest wait of late that count as slow: the origin is crowded
+const BEST_AGES: f64 = 1.02; // by which the shortest wait grows a fill, so that it follows a lasting change
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
@@ -98,6 +102,9 @@
     /// Fills in a row in which the origin beat it, by latency and by bandwidth.
     beaten: [u32; 2],
     in_hand: f64,
+    /// Fills that may be out at the origin at once, and the shortest wait there of late.
+    window: f64,
+    best: f64,
     spent: VecDeque<(Time, PullId, Leg, f64)>,
 }
 
@@ -106,8 +113,22 @@
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
+        let (window, best) = (WINDOW, f64::MAX);
         let (latency, bandwidth, beaten, heard) = (None, None, [0; 2], now);
-        Host { line, hash, reputation, next_trial, heard, latency, bandwidth, beaten, in_hand, spent }
+        Host {
+            line,
+            hash,
+            reputation,
+            next_trial,
+            heard,
+            latency,
+            bandwidth,
+            beaten,
+            in_hand,
+            window,
+            best,
+            spent,
+        }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -119,6 +140,12 @@
         self.heard = now;
         self.reputation += STEP * (1.0 - self.reputation);
     }
+    // Guards against an origin that all dispatchers lean on when the parents fail: it slows, then stops.
+    fn widen(&mut self, waited: f64) {
+        self.best = waited.min(self.best * BEST_AGES);
+        let slow = waited > self.best * SLOWED;
+        self.window = if slow { (self.window * NARROWED).max(1.0) } else { self.window + 1.0 / self.window };
+    }
     fn leave(&mut self) {
         self.in_hand = (self.in_hand - 1.0).max(0.0);
     }
@@ -390,6 +417,7 @@
         let next_trial = self.now + TRIAL * self.chance.random_range(0.9..1.1);
         if let Some(host) = self.hosts.get_mut(id) {
             host.reputation *= 1.0 - PENALTY;
+            host.window = (host.window * NARROWED).max(1.0);
             host.next_trial = next_trial;
         }
     }
@@ -403,6 +431,7 @@
         let count = |beaten: bool, before: u32| if beaten { (before + 1).min(SEVERAL) } else { 0 };
         if source.is(Role::Origin) || ended.told == Told::Filled {
             follow(&mut source.latency, waited.ms());
+            source.widen(waited.ms());
             let clearly = |(own, origin): (f64, f64)| origin < own * (1.0 - MARGIN);
             source.beaten[0] = count(source.latency.zip(best_latency).is_some_and(clearly), source.beaten[0]);
         }
@@ -645,8 +674,8 @@
             origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
-            let clear = origin.filter(|host| host.usable() && new(host));
-            let usual = parents.iter().find(set).copied().or(clear).or(first).or(origin);
+            let clear = origin.filter(|host| host.usable() && host.in_hand < host.window && new(host));
+            let usual = parents.iter().find(set).copied().or(clear).or(first);
             out.or(origin.filter(|host| trial(&host))).or(usual)
         };
         chosen.map(|host| host.line.host.clone())
