--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,9 +28,9 @@
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
-const WINDOW: f64 = 4.0; // fills out at the origin at first: few, as all dispatchers turn there together
+const WINDOW: f64 = 8.0; // fills out at the origin at first: hits count until they are known, so few are left
 const NARROWED: f64 = 0.8; // left of that after a slow or failed fill
-const SLOWED: f64 = 2.0; // times the shortest wait of late that count as slow: the origin is crowded
+const SLOWED: f64 = 5.0; // times the shortest wait of late that count as slow: single waits vary much
 const BEST_AGES: f64 = 1.02; // by which the shortest wait grows a fill, so that it follows a lasting change
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
