No reputation sinks below what one good trial lifts back to the floor

Could harm with a source that fails most but not all: it returns for one failure after each good trial.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -138,7 +138,7 @@
     }
     fn praise(&mut self, now: Time) {
         self.heard = now;
-        self.reputation += STEP * (1.0 - self.reputation);
+        self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON;
     }
     // Guards against an origin that all dispatchers lean on when the parents fail: it slows, then stops.
     fn widen(&mut self, waited: f64) {
@@ -416,7 +416,8 @@
     fn blame(&mut self, id: &HostId) {
         let next_trial = self.now + TRIAL * self.chance.random_range(0.9..1.1);
         if let Some(host) = self.hosts.get_mut(id) {
-            host.reputation *= 1.0 - PENALTY;
+            // Guards against a source that stays out long after its trouble: one good trial is enough.
+            host.reputation = (host.reputation * (1.0 - PENALTY)).max((FLOOR - STEP) / (1.0 - STEP));
             host.window = (host.window * NARROWED).max(1.0);
             host.next_trial = next_trial;
         }
