--- a/src/brain.rs
+++ b/src/brain.rs
@@ -28,7 +28,7 @@
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
-const WINDOW: f64 = 8.0; // fills out at the origin at first: hits count until they are known, so few are left
+const WINDOW: f64 = 24.0; // hand-offs out with the origin as source at first: most end as hits
 const NARROWED: f64 = 0.8; // left of that after a slow or failed fill
 const SLOWED: f64 = 5.0; // times the shortest wait of late that count as slow: single waits vary much
 const BEST_AGES: f64 = 1.02; // by which the shortest wait grows a fill, so that it follows a lasting change
@@ -144,7 +144,7 @@
     fn widen(&mut self, waited: f64) {
         self.best = waited.min(self.best * BEST_AGES);
         let slow = waited > self.best * SLOWED;
-        self.window = if slow { (self.window * NARROWED).max(1.0) } else { self.window + 1.0 / self.window };
+        self.window = if slow { (self.window * NARROWED).max(1.0) } else { self.window + 1.0 };
     }
     fn leave(&mut self) {
         self.in_hand = (self.in_hand - 1.0).max(0.0);
