--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,6 +24,7 @@
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
+const LINK_ROOM: f64 = 0.5; // share of that up to which pulls without a cache may use it too
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
@@ -688,7 +689,10 @@
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.terms.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
-        let straight = self.direct && (through || !self.hosts.values().any(|h| self.mine(h) && h.usable()));
+        // With no cache up, or none with room while the link has some, a pull goes past the caches.
+        let roomy = self.link_place.is_some() && self.link.0 < LINK_FULL * LINK_ROOM && open;
+        let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
+        let straight = self.direct && (through || lost || roomy);
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
         let origin =
             self.hosts.values().find(|h| h.is(Role::Origin) && h.usable()).map(|h| h.line.host.clone());
@@ -700,6 +704,7 @@
             _ => return false,
         };
         let behind = &self.hosts[&source];
+        let past = !self.hosts[&host].is(Role::Cache);
         let trial = behind.next_trial <= now;
         // Guards against a stopped origin being asked on by every parent, and against fills that hold their
         // places until they time out behind it.
@@ -723,7 +728,7 @@
             oldest,
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
-        let cost = if self.hosts[&host].is(Role::Cache) { kind.cost(work) } else { work };
+        let cost = if past { work } else { kind.cost(work) };
         let leg = Leg(held.legs);
         for (id_of, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
             let Some(host) = self.hosts.get_mut(id_of) else { continue };
@@ -736,7 +741,7 @@
         self.due.insert((now + patience, id));
         let held = self.pulls.get_mut(&id).expect("just seen");
         self.seen.insert(held.pull.object, now);
-        self.link.2 += f64::from(u8::from(held.missed));
+        self.link.2 += f64::from(u8::from(held.missed || past));
         held.legs += 1;
         let (sent, overdue, noted, silent) = (now, now + patience, false, false);
         held.out.push(Out { leg, host, source, sent, overdue, noted, silent, trial });
