Past full caches go small pulls only, up to 0.3 of a full link

Guards against a location whose few warm caches are full while its link is idle (deploys, losses, cold returns); could harm where the link's report is far behind.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,7 +24,7 @@
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
-const LINK_ROOM: f64 = 0.5; // share of that up to which pulls without a cache may use it too
+const LINK_ROOM: f64 = 0.3; // share of that up to which pulls without a cache may use it too
 const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
@@ -690,7 +690,8 @@
         let (through, work) = (kind.terms.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
-        let roomy = self.link_place.is_some() && self.link.0 < LINK_FULL * LINK_ROOM && open;
+        let roomy =
+            self.link_place.is_some() && self.link.0 < LINK_FULL * LINK_ROOM && work < kind.mean_work && open;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
         let straight = self.direct && (through || lost || roomy);
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
