Pulls past the caches are held to a window that narrows as they come late

Guards against a lost location's link being overfull with whole answers: pulls then bounce early instead of all coming late.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -141,11 +141,12 @@
         self.heard = now;
         self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON;
     }
-    // Guards against an origin that all dispatchers lean on when the parents fail: it slows, then stops.
-    fn widen(&mut self, waited: f64) {
-        self.best = waited.min(self.best * BEST_AGES);
-        let slow = waited > self.best * SLOWED;
-        self.window = if slow { (self.window * NARROWED).max(1.0) } else { self.window + 1.0 };
+    // Guards against a source that all dispatchers lean on when others fail: it slows, then stops.
+    fn widen(&mut self, well: bool) {
+        self.window = if well { self.window + 1.0 } else { (self.window * NARROWED).max(1.0) };
+    }
+    fn room(&self) -> bool {
+        self.in_hand < self.window
     }
     fn leave(&mut self) {
         self.in_hand = (self.in_hand - 1.0).max(0.0);
@@ -394,6 +395,10 @@
         match ended.ending {
             Answered => {
                 self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.praise(now));
+                if let Some(held) = self.pulls.get(&ended.pull).filter(|_| !cached) {
+                    let in_time = now <= held.promised;
+                    self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.widen(in_time));
+                }
                 if filled && behind {
                     self.hosts.get_mut(&out.source).into_iter().for_each(|host| host.praise(now));
                     self.measure(out, ended, large);
@@ -419,7 +424,7 @@
         if let Some(host) = self.hosts.get_mut(id) {
             // Guards against a source that stays out long after its trouble: one good trial is enough.
             host.reputation = (host.reputation * (1.0 - PENALTY)).max((FLOOR - STEP) / (1.0 - STEP));
-            host.window = (host.window * NARROWED).max(1.0);
+            host.widen(false);
             host.next_trial = next_trial;
         }
     }
@@ -433,7 +438,8 @@
         let count = |beaten: bool, before: u32| if beaten { (before + 1).min(SEVERAL) } else { 0 };
         if source.is(Role::Origin) || ended.told == Told::Filled {
             follow(&mut source.latency, waited.ms());
-            source.widen(waited.ms());
+            source.best = waited.ms().min(source.best * BEST_AGES);
+            source.widen(waited.ms() <= source.best * SLOWED);
             let clearly = |(own, origin): (f64, f64)| origin < own * (1.0 - MARGIN);
             source.beaten[0] = count(source.latency.zip(best_latency).is_some_and(clearly), source.beaten[0]);
         }
@@ -559,6 +565,9 @@
             return false;
         };
         out.noted = true;
+        if let Some(host) = self.hosts.get_mut(&out.host).filter(|host| !host.is(Role::Cache)) {
+            host.widen(false);
+        }
         let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard <= out.sent);
         let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
         if let Some(culprit) = culprit {
@@ -676,7 +685,7 @@
             origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
-            let clear = origin.filter(|host| host.usable() && host.in_hand < host.window && new(host));
+            let clear = origin.filter(|host| host.usable() && host.room() && new(host));
             let usual = parents.iter().find(set).copied().or(clear).or(first);
             out.or(origin.filter(|host| trial(&host))).or(usual)
         };
@@ -701,7 +710,9 @@
             _ if held.missed && !open => return false,
             (Some(cache), Some(source)) if open => (cache, source),
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(first)) if straight => (first.clone(), origin.unwrap_or(first)),
+            (None, Some(first)) if straight && (through || self.hosts[&first].room()) => {
+                (first.clone(), origin.unwrap_or(first))
+            }
             _ => return false,
         };
         let behind = &self.hosts[&source];
