--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,9 +64,6 @@
 }
 
 impl Ramp {
-    fn new(from: f64, within: Span, window: Span, factor: f64, dispatchers: f64) -> Ramp {
-        Ramp { from, within, window, share: (factor * COLD_USE).min(COLD_MOST) / dispatchers }
-    }
     /// The least part of its capacity that a host started then has at a time.
     fn part(&self, started: Option<Time>, at: Time) -> f64 {
         let risen = |started| at.since(started).ms() / self.within.ms().max(1.0);
@@ -98,9 +95,8 @@
     reputation: f64,
     next_trial: Time,
     heard: Time,
-    latency: Option<f64>,
-    bandwidth: Option<f64>,
-    /// Fills in a row in which the origin beat it, by latency and by bandwidth.
+    /// Latency in ms, bandwidth in KB a ms; and fills in a row in which the origin beat it by each.
+    measures: [Option<f64>; 2],
     beaten: [u32; 2],
     in_hand: f64,
     /// Fills that may be out at the origin at once, and the shortest wait there of late.
@@ -115,21 +111,8 @@
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
         let (window, best) = (WINDOW, f64::MAX);
-        let (latency, bandwidth, beaten, heard) = (None, None, [0; 2], now);
-        Host {
-            line,
-            hash,
-            reputation,
-            next_trial,
-            heard,
-            latency,
-            bandwidth,
-            beaten,
-            in_hand,
-            window,
-            best,
-            spent,
-        }
+        let (measures, beaten, heard) = ([None; 2], [0; 2], now);
+        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, window, best, spent }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -218,24 +201,20 @@
     x ^ (x >> 31)
 }
 
-fn follow(measure: &mut Option<f64>, sample: f64) {
-    *measure = Some(measure.map_or(sample, |old| old + NEW_WEIGHT * (sample - old)));
-}
-
 impl Brain {
     /// A new instance; the seed is its only source of chance.
     pub fn start(now: Time, seed: u64, terms: Terms) -> (Brain, Decisions) {
         let mates = terms.zone_dispatchers.get(terms.zone.0).copied().unwrap_or(1).max(1) as f64;
         let all = terms.dispatchers.max(1) as f64;
-        let (from, within, factor) = (terms.cold_from, terms.warm_within, terms.overload_factor);
-        let cache_ramp = Ramp::new(from, within, terms.fall_window, factor, mates);
-        let (from, within) = (terms.parent_cold_from, terms.parent_warm_within);
-        let parent_ramp = Ramp::new(from, within, terms.fall_window, terms.parent_overload_factor, all);
-        let kind = |terms: Workload| Kind {
-            mean_work: terms.promised.ms() / (1.0 + terms.stretch),
-            samples: 0.0,
-            terms,
+        let ramp = |from, within, factor: f64, dispatchers: f64| {
+            let share = (factor * COLD_USE).min(COLD_MOST) / dispatchers;
+            Ramp { from, within, window: terms.fall_window, share }
         };
+        let cache_ramp = ramp(terms.cold_from, terms.warm_within, terms.overload_factor, mates);
+        let factor = terms.parent_overload_factor;
+        let parent_ramp = ramp(terms.parent_cold_from, terms.parent_warm_within, factor, all);
+        let prior = |terms: &Workload| terms.promised.ms() / (1.0 + terms.stretch);
+        let kind = |terms: Workload| Kind { mean_work: prior(&terms), samples: 0.0, terms };
         let mut brain = Brain {
             now,
             born: now,
@@ -345,14 +324,14 @@
             held.ran = Some((out.sent, out.host.clone()));
         }
         // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
-        let source_failed =
-            matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed);
-        if source_failed {
+        let failed = matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed);
+        if failed {
             held.tried.push(out.source.clone());
         } else if !lacking {
             held.tried.push(out.host.clone());
         }
-        if lacking || (ended.ending == Ending::TurnedAway && source_failed) {
+        let past = self.hosts.get(&out.host).is_some_and(|host| !host.is(Role::Cache));
+        if lacking || past || (ended.ending == Ending::TurnedAway && failed) {
             held.pauses += 1;
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
@@ -367,6 +346,8 @@
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
+        use Ending::*;
+        let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
         let link = self.link_place.and_then(|place| ended.load.get(place));
         if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
             self.link = (*link, self.now, 0.0);
@@ -374,6 +355,8 @@
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
             host.leave();
+            // Whatever a host answers, a failed fill too, shows that it is not silent.
+            host.heard = if id == &out.host && alive { self.now } else { host.heard };
             if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
                 host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
                 host.next_trial = if out.trial { self.now } else { host.next_trial };
@@ -386,18 +369,12 @@
         use Ending::*;
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
         let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
-        // Whatever a host answers, a failed fill too, shows that it is not silent.
-        let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
-        if let Some(host) = self.hosts.get_mut(&out.host).filter(|_| alive) {
-            host.heard = self.now;
-        }
         let (now, behind) = (self.now, cached && out.source != out.host);
         match ended.ending {
             Answered => {
-                self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.praise(now));
-                if let Some(held) = self.pulls.get(&ended.pull).filter(|_| !cached) {
-                    let in_time = now <= held.promised;
-                    self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.widen(in_time));
+                if let Some(host) = self.hosts.get_mut(&out.host) {
+                    host.praise(now);
+                    host.widen(now < out.overdue);
                 }
                 if filled && behind {
                     self.hosts.get_mut(&out.source).into_iter().for_each(|host| host.praise(now));
@@ -406,8 +383,7 @@
             }
             // A parent that the origin fails is no worse for it: the origin's reputation pays.
             _ if ended.told == Told::OriginFailed => {
-                let origin = self.hosts.values().find(|host| host.is(Role::Origin));
-                if let Some(id) = origin.map(|host| host.line.host.clone()) {
+                if let Some(id) = self.origin().map(|origin| origin.line.host.clone()) {
                     self.blame(&id);
                 }
             }
@@ -431,23 +407,22 @@
 
     fn measure(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
         let Some(waited) = ended.waited else { return };
-        let origin = self.hosts.values().find(|host| host.is(Role::Origin));
-        let (best_latency, best_bandwidth) =
-            origin.map_or((None, None), |host| (host.latency, host.bandwidth));
+        let best = self.origin().map_or([None; 2], |origin| origin.measures);
         let Some(source) = self.hosts.get_mut(&out.source) else { return };
-        let count = |beaten: bool, before: u32| if beaten { (before + 1).min(SEVERAL) } else { 0 };
-        if source.is(Role::Origin) || ended.told == Told::Filled {
-            follow(&mut source.latency, waited.ms());
-            source.best = waited.ms().min(source.best * BEST_AGES);
-            source.widen(waited.ms() <= source.best * SLOWED);
-            let clearly = |(own, origin): (f64, f64)| origin < own * (1.0 - MARGIN);
-            source.beaten[0] = count(source.latency.zip(best_latency).is_some_and(clearly), source.beaten[0]);
+        let latency = Some(waited.ms()).filter(|_| source.is(Role::Origin) || ended.told == Told::Filled);
+        let bandwidth = large.map(|kb| kb / ended.took.less(waited).ms().max(1.0));
+        if let Some(waited) = latency {
+            source.best = waited.min(source.best * BEST_AGES);
+            source.widen(waited <= source.best * SLOWED);
         }
-        if let Some(kb) = large {
-            follow(&mut source.bandwidth, kb / ended.took.less(waited).ms().max(1.0));
-            let clearly = |(own, origin): (f64, f64)| origin > own * (1.0 + MARGIN);
-            source.beaten[1] =
-                count(source.bandwidth.zip(best_bandwidth).is_some_and(clearly), source.beaten[1]);
+        for (at, sample) in [latency, bandwidth].into_iter().enumerate() {
+            let Some(sample) = sample else { continue };
+            let own = source.measures[at].map_or(sample, |old| old + NEW_WEIGHT * (sample - old));
+            source.measures[at] = Some(own);
+            let clearly =
+                |best| if at == 0 { best < own * (1.0 - MARGIN) } else { best > own * (1.0 + MARGIN) };
+            let beaten = best[at].is_some_and(clearly);
+            source.beaten[at] = if beaten { (source.beaten[at] + 1).min(SEVERAL) } else { 0 };
         }
     }
 
@@ -456,8 +431,7 @@
         if now >= self.next_tidy {
             self.next_tidy = now + TIDY;
             self.seen.retain(|_, at| now.since(*at) < REMEMBER);
-            let settles = self.settles + TIDY;
-            self.purges.retain(|(.., made)| now.since(*made) < settles);
+            self.purges.retain(|(.., made)| now.since(*made) < self.settles + TIDY);
             self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
         }
         while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= now) {
@@ -528,14 +502,12 @@
     fn may_follow(&self, held: &Held) -> bool {
         let open = held.out.first().map(|out| out.sent);
         let ran = held.ran.as_ref().map(|(sent, _)| *sent).or(open);
-        held.legs < self.most_hand_offs
-            && match (self.kinds[held.pull.workload.0].terms.repeats, ran) {
-                (Repeats::Reissuable, _) | (_, None) => true,
-                (Repeats::AtMostOnce, Some(_)) => false,
-                (Repeats::Numbered { remembered, .. }, Some(sent)) => {
-                    self.now + self.early < sent + remembered
-                }
-            }
+        let allowed = match (self.kinds[held.pull.workload.0].terms.repeats, ran) {
+            (Repeats::Reissuable, _) | (_, None) => true,
+            (Repeats::AtMostOnce, Some(_)) => false,
+            (Repeats::Numbered { remembered, .. }, Some(sent)) => self.now + self.early < sent + remembered,
+        };
+        held.legs < self.most_hand_offs && allowed
     }
 
     fn hand_off_what_waits(&mut self, id: PullId) -> bool {
@@ -561,9 +533,8 @@
     fn note_what_is_overdue(&mut self, id: PullId) -> bool {
         let now = self.now;
         let Some(held) = self.pulls.get_mut(&id) else { return false };
-        let Some(out) = held.out.iter_mut().find(|out| !out.noted && out.overdue <= now) else {
-            return false;
-        };
+        let fresh = |out: &&mut Out| !out.noted && out.overdue <= now;
+        let Some(out) = held.out.iter_mut().find(fresh) else { return false };
         out.noted = true;
         if let Some(host) = self.hosts.get_mut(&out.host).filter(|host| !host.is(Role::Cache)) {
             host.widen(false);
@@ -608,6 +579,10 @@
         (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
     }
 
+    fn origin(&self) -> Option<&Host> {
+        self.hosts.values().find(|h| h.is(Role::Origin) && h.line.standing == Standing::InService)
+    }
+
     fn mine(&self, host: &Host) -> bool {
         host.is(Role::Cache) && host.line.zone == Some(self.zone)
     }
@@ -639,10 +614,8 @@
 
     // A numbered pull that may have run stays among the hosts that drop its repeats.
     fn in_scope(&self, held: &Held, host: &Host) -> bool {
-        let Repeats::Numbered { scope, .. } = self.kinds[held.pull.workload.0].terms.repeats else {
-            return true;
-        };
-        let Some((_, first)) = &held.ran else { return true };
+        let repeats = self.kinds[held.pull.workload.0].terms.repeats;
+        let (Repeats::Numbered { scope, .. }, Some((_, first))) = (repeats, &held.ran) else { return true };
         let cell = |line: &Listed| (line.zone, if scope == Scope::Cell { line.cell } else { CellId(0) });
         let same = |first: &Host| cell(&first.line) == cell(&host.line);
         scope == Scope::All || self.hosts.get(first).is_some_and(same)
@@ -677,7 +650,7 @@
         let new = |host: &&Host| !held.tried.contains(&host.line.host) && self.cold_room(host, held.work);
         let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL;
         let trial = |host: &&&Host| held.legs == 0 && host.next_trial <= self.now;
-        let origin = self.in_hash_order(Role::Origin, held.pull.object).into_iter().next();
+        let origin = self.origin();
         let mut parents = self.in_hash_order(Role::Parent, held.pull.object);
         parents.retain(new);
         let first = parents.first().copied();
@@ -704,15 +677,13 @@
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
         let straight = self.direct && (through || lost || roomy);
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
-        let origin =
-            self.hosts.values().find(|h| h.is(Role::Origin) && h.usable()).map(|h| h.line.host.clone());
+        let origin = self.origin().filter(|h| h.usable()).map(|h| h.line.host.clone());
+        let fits = |id| through || (self.hosts[id].room() && self.in_scope(held, &self.hosts[id]));
         let (host, source) = match (cache, self.pick_source(held)) {
             _ if held.missed && !open => return false,
             (Some(cache), Some(source)) if open => (cache, source),
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(first)) if straight && (through || self.hosts[&first].room()) => {
-                (first.clone(), origin.unwrap_or(first))
-            }
+            (None, Some(first)) if straight && fits(&first) => (first.clone(), origin.unwrap_or(first)),
             _ => return false,
         };
         let behind = &self.hosts[&source];
@@ -720,12 +691,12 @@
         let trial = behind.next_trial <= now;
         // Guards against a stopped origin being asked on by every parent, and against fills that hold their
         // places until they time out behind it.
-        let stopped = |h: &Host| h.is(Role::Origin) && !h.usable() && h.next_trial > now;
-        let only_held = behind.is(Role::Parent) && !through && self.hosts.values().any(stopped);
+        let stopped = self.origin().is_some_and(|origin| !origin.usable() && origin.next_trial > now);
+        let only_held = stopped && behind.is(Role::Parent) && !through;
         let fresh = Some(kind.terms.fresh).filter(|fresh| *fresh > Span::ZERO);
         let oldest = self.oldest(&held.pull, fresh);
         let slow = self.load(&self.hosts[&host]).max(1.0);
-        let expected = Span::of_ms(work * slow + behind.latency.unwrap_or(SLACK.ms()));
+        let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
         let left = held.pull.hard_stop.since(now);
         let cut = kind.terms.repeats == Repeats::Reissuable && !self.duplicates;
