--- a/src/brain.rs
+++ b/src/brain.rs
@@ -31,8 +31,6 @@
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
 const WINDOW: f64 = 24.0; // hand-offs out with the origin as source at first: most end as hits
 const NARROWED: f64 = 0.8; // left of that after a slow or failed fill
-const SLOWED: f64 = 5.0; // times the shortest wait of late that count as slow: single waits vary much
-const BEST_AGES: f64 = 1.02; // by which the shortest wait grows a fill, so that it follows a lasting change
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
@@ -71,20 +69,31 @@
     }
 }
 
-/// What is kept of a workload, with the mean sending time seen.
+/// The figures of a workload that decisions use, with the mean sending time seen.
 struct Kind {
-    terms: Workload,
+    promised: Span,
+    stretch: f64,
+    repeats: Repeats,
+    goes_through: bool,
+    parted: bool,
+    fresh: Option<Span>,
     mean_work: f64,
     samples: f64,
 }
 
 impl Kind {
+    fn new(of: Workload) -> Kind {
+        let Workload { promised, stretch, repeats, goes_through, parted, fresh } = of;
+        let (mean_work, samples) = (promised.ms() / (1.0 + stretch), 0.0);
+        let fresh = Some(fresh).filter(|fresh| *fresh > Span::ZERO);
+        Kind { promised, stretch, repeats, goes_through, parted, fresh, mean_work, samples }
+    }
     /// What a pull weighs against a cold cache: the mean, or more until that is known.
     fn cost(&self, work: f64) -> f64 {
         if self.samples < SETTLED { self.mean_work.max(work) } else { self.mean_work }
     }
     fn large(&self, pull: &Pull) -> bool {
-        self.terms.parted || pull.size_kb.is_some_and(|kb| kb >= LARGE_KB)
+        self.parted || pull.size_kb.is_some_and(|kb| kb >= LARGE_KB)
     }
 }
 
@@ -99,9 +108,8 @@
     measures: [Option<f64>; 2],
     beaten: [u32; 2],
     in_hand: f64,
-    /// Fills that may be out at the origin at once, and the shortest wait there of late.
+    /// How many hand-offs may be out past the parents or past the caches at once.
     window: f64,
-    best: f64,
     spent: VecDeque<(Time, PullId, Leg, f64)>,
 }
 
@@ -110,9 +118,8 @@
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
-        let (window, best) = (WINDOW, f64::MAX);
-        let (measures, beaten, heard) = ([None; 2], [0; 2], now);
-        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, window, best, spent }
+        let (window, measures, beaten, heard) = (WINDOW, [None; 2], [0; 2], now);
+        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, window, spent }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -213,13 +220,11 @@
         let cache_ramp = ramp(terms.cold_from, terms.warm_within, terms.overload_factor, mates);
         let factor = terms.parent_overload_factor;
         let parent_ramp = ramp(terms.parent_cold_from, terms.parent_warm_within, factor, all);
-        let prior = |terms: &Workload| terms.promised.ms() / (1.0 + terms.stretch);
-        let kind = |terms: Workload| Kind { mean_work: prior(&terms), samples: 0.0, terms };
         let mut brain = Brain {
             now,
             born: now,
             chance: Pcg64Mcg::seed_from_u64(seed),
-            kinds: terms.workloads.into_iter().map(kind).collect(),
+            kinds: terms.workloads.into_iter().map(Kind::new).collect(),
             zone: terms.zone,
             zone_mates: mates,
             link: (0.0, now, 0.0),
@@ -282,7 +287,7 @@
             kind.mean_work += (work - kind.mean_work) / kind.samples;
         }
         let work = told.unwrap_or(kind.mean_work);
-        let promised = now + kind.terms.promised + Span::of_ms(work * kind.terms.stretch);
+        let promised = now + kind.promised + Span::of_ms(work * kind.stretch);
         let (id, stop) = (pull.id, pull.hard_stop - self.early);
         let (out, tried, legs, pauses, ran) = (Vec::new(), Vec::new(), 0, 0, None);
         let (not_before, missed, done) = (now, false, false);
@@ -372,12 +377,13 @@
         let (now, behind) = (self.now, cached && out.source != out.host);
         match ended.ending {
             Answered => {
-                if let Some(host) = self.hosts.get_mut(&out.host) {
+                let source = Some(&out.source).filter(|_| filled && behind);
+                for id in [&out.host].into_iter().chain(source) {
+                    let Some(host) = self.hosts.get_mut(id) else { continue };
                     host.praise(now);
                     host.widen(now < out.overdue);
                 }
-                if filled && behind {
-                    self.hosts.get_mut(&out.source).into_iter().for_each(|host| host.praise(now));
+                if source.is_some() {
                     self.measure(out, ended, large);
                 }
             }
@@ -411,10 +417,6 @@
         let Some(source) = self.hosts.get_mut(&out.source) else { return };
         let latency = Some(waited.ms()).filter(|_| source.is(Role::Origin) || ended.told == Told::Filled);
         let bandwidth = large.map(|kb| kb / ended.took.less(waited).ms().max(1.0));
-        if let Some(waited) = latency {
-            source.best = waited.min(source.best * BEST_AGES);
-            source.widen(waited <= source.best * SLOWED);
-        }
         for (at, sample) in [latency, bandwidth].into_iter().enumerate() {
             let Some(sample) = sample else { continue };
             let own = source.measures[at].map_or(sample, |old| old + NEW_WEIGHT * (sample - old));
@@ -488,7 +490,7 @@
     // A bounce promises that a retry is harmless; where that can't be known it is a forfeit.
     fn give_up(&mut self, id: PullId) -> bool {
         let held = &self.pulls[&id];
-        let harmless = match self.kinds[held.pull.workload.0].terms.repeats {
+        let harmless = match self.kinds[held.pull.workload.0].repeats {
             Repeats::Reissuable | Repeats::Numbered { scope: Scope::All, .. } => true,
             _ => held.ran.is_none() && held.out.is_empty(),
         };
@@ -502,7 +504,7 @@
     fn may_follow(&self, held: &Held) -> bool {
         let open = held.out.first().map(|out| out.sent);
         let ran = held.ran.as_ref().map(|(sent, _)| *sent).or(open);
-        let allowed = match (self.kinds[held.pull.workload.0].terms.repeats, ran) {
+        let allowed = match (self.kinds[held.pull.workload.0].repeats, ran) {
             (Repeats::Reissuable, _) | (_, None) => true,
             (Repeats::AtMostOnce, Some(_)) => false,
             (Repeats::Numbered { remembered, .. }, Some(sent)) => self.now + self.early < sent + remembered,
@@ -551,7 +553,7 @@
 
     fn hand_off_beside_the_silent(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get(&id) else { return false };
-        let reissuable = self.kinds[held.pull.workload.0].terms.repeats == Repeats::Reissuable;
+        let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
         let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent);
         let left = held.pull.hard_stop.since(self.now).ms();
         let allowed = self.duplicates && reissuable && silent && self.may_follow(held);
@@ -614,7 +616,7 @@
 
     // A numbered pull that may have run stays among the hosts that drop its repeats.
     fn in_scope(&self, held: &Held, host: &Host) -> bool {
-        let repeats = self.kinds[held.pull.workload.0].terms.repeats;
+        let repeats = self.kinds[held.pull.workload.0].repeats;
         let (Repeats::Numbered { scope, .. }, Some((_, first))) = (repeats, &held.ran) else { return true };
         let cell = |line: &Listed| (line.zone, if scope == Scope::Cell { line.cell } else { CellId(0) });
         let same = |first: &Host| cell(&first.line) == cell(&host.line);
@@ -623,7 +625,7 @@
 
     fn pick_cache(&self, held: &Held, open: bool) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
-        let trials = kind.terms.repeats == Repeats::Reissuable && held.legs == 0;
+        let trials = kind.repeats == Repeats::Reissuable && held.legs == 0;
         let allowed = |host: &&Host| {
             let up = host.reputation >= FLOOR || (trials && host.next_trial <= self.now);
             let new = !held.tried.contains(&host.line.host);
@@ -654,7 +656,7 @@
         let mut parents = self.in_hash_order(Role::Parent, held.pull.object);
         parents.retain(new);
         let first = parents.first().copied();
-        let chosen = if kind.terms.goes_through {
+        let chosen = if kind.goes_through {
             origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
@@ -669,7 +671,7 @@
     fn hand_off(&mut self, id: PullId) -> bool {
         let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
-        let (through, work) = (kind.terms.goes_through, held.work);
+        let (through, work) = (kind.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
         let roomy =
@@ -693,20 +695,19 @@
         // places until they time out behind it.
         let stopped = self.origin().is_some_and(|origin| !origin.usable() && origin.next_trial > now);
         let only_held = stopped && behind.is(Role::Parent) && !through;
-        let fresh = Some(kind.terms.fresh).filter(|fresh| *fresh > Span::ZERO);
-        let oldest = self.oldest(&held.pull, fresh);
+        let oldest = self.oldest(&held.pull, kind.fresh);
         let slow = self.load(&self.hosts[&host]).max(1.0);
         let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
         let left = held.pull.hard_stop.since(now);
-        let cut = kind.terms.repeats == Repeats::Reissuable && !self.duplicates;
+        let cut = kind.repeats == Repeats::Reissuable && !self.duplicates;
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
             source: source.clone(),
             allow: if cut { patience.min(left) } else { left },
             join: self.joins,
-            renew: fresh.is_some() && oldest.is_none(),
+            renew: kind.fresh.is_some() && oldest.is_none(),
             only_held,
             oldest,
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
