--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,7 +3,7 @@
 //! applied in the order of its fields: cancels, hand-offs, final answers, next wake. An answered hand-off
 //! is its pull's final answer. The interface is `words.rs`; the reasons are in `docs/design.md`.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -110,14 +110,14 @@
     in_hand: f64,
     /// How many hand-offs may be out past the parents or past the caches at once.
     window: f64,
-    spent: VecDeque<(Time, PullId, Leg, f64)>,
+    spent: Vec<(Time, PullId, Leg, f64)>,
 }
 
 impl Host {
     fn new(line: Listed, now: Time) -> Host {
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
-        let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, VecDeque::new());
+        let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, Vec::new());
         let (window, measures, beaten, heard) = (WINDOW, [None; 2], [0; 2], now);
         Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, window, spent }
     }
@@ -127,17 +127,15 @@
     fn usable(&self) -> bool {
         self.line.standing == Standing::InService && self.reputation >= FLOOR
     }
-    fn praise(&mut self, now: Time) {
+    fn praise(&mut self, now: Time, in_time: bool) {
         self.heard = now;
+        self.widen(in_time);
         self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON;
     }
     // Guards against a source that all dispatchers lean on when others fail: it slows, then stops.
     fn widen(&mut self, well: bool) {
         self.window = if well { self.window + 1.0 } else { (self.window * NARROWED).max(1.0) };
     }
-    fn room(&self) -> bool {
-        self.in_hand < self.window
-    }
     fn leave(&mut self) {
         self.in_hand = (self.in_hand - 1.0).max(0.0);
     }
@@ -256,11 +254,10 @@
 
     /// Lines of the list of hosts; with the whole list, what it leaves out is gone.
     pub fn list(&mut self, now: Time, coverage: Coverage, lines: Vec<Listed>) -> Decisions {
-        if coverage == Coverage::Whole {
-            let named: BTreeSet<&HostId> = lines.iter().map(|line| &line.host).collect();
-            for (_, host) in self.hosts.iter_mut().filter(|(id, _)| !named.contains(id)) {
-                host.line.standing = Standing::Gone;
-            }
+        let named: BTreeSet<&HostId> = lines.iter().map(|line| &line.host).collect();
+        let left_out = |id: &HostId| coverage == Coverage::Whole && !named.contains(id);
+        for (_, host) in self.hosts.iter_mut().filter(|(id, _)| left_out(id)) {
+            host.line.standing = Standing::Gone;
         }
         for line in lines {
             let known = self.hosts.entry(line.host.clone()).or_insert_with(|| Host::new(line.clone(), now));
@@ -271,7 +268,7 @@
             known.line = line;
             // Guards against a restarted dispatcher giving a cold host its share a second time.
             if now.since(self.born) < self.cache_ramp.window && known.spent.is_empty() {
-                known.spent.push_back((self.born, PullId(u64::MAX), Leg(0), f64::INFINITY));
+                known.spent.push((self.born, PullId(u64::MAX), Leg(0), f64::INFINITY));
             }
         }
         self.agenda.extend(self.pulls.keys().copied());
@@ -375,30 +372,22 @@
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
         let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
         let (now, behind) = (self.now, cached && out.source != out.host);
-        match ended.ending {
-            Answered => {
-                let source = Some(&out.source).filter(|_| filled && behind);
-                for id in [&out.host].into_iter().chain(source) {
-                    let Some(host) = self.hosts.get_mut(id) else { continue };
-                    host.praise(now);
-                    host.widen(now < out.overdue);
-                }
-                if source.is_some() {
-                    self.measure(out, ended, large);
-                }
-            }
-            // A parent that the origin fails is no worse for it: the origin's reputation pays.
-            _ if ended.told == Told::OriginFailed => {
-                if let Some(id) = self.origin().map(|origin| origin.line.host.clone()) {
-                    self.blame(&id);
-                }
-            }
-            _ if matches!(ended.told, Told::SourceRefused | Told::SourceUnreached) && behind => {
-                self.blame(&out.source);
+        if ended.ending == Answered {
+            let source = Some(&out.source).filter(|_| filled && behind);
+            for id in [&out.host].into_iter().chain(source) {
+                self.hosts.get_mut(id).into_iter().for_each(|host| host.praise(now, now < out.overdue));
             }
-            Errored | NotConnected | Broken => self.blame(&out.host),
-            _ => {}
+            source.into_iter().for_each(|_| self.measure(out, ended, large));
         }
+        let culprit = match (ended.ending, ended.told) {
+            (Answered, _) => None,
+            // A parent that the origin fails is no worse for it: the origin's reputation pays.
+            (_, Told::OriginFailed) => self.origin().map(|origin| origin.line.host.clone()),
+            (_, Told::SourceRefused | Told::SourceUnreached) if behind => Some(out.source.clone()),
+            (Errored | NotConnected | Broken, _) => Some(out.host.clone()),
+            _ => None,
+        };
+        culprit.into_iter().for_each(|id| self.blame(&id));
     }
 
     fn blame(&mut self, id: &HostId) {
@@ -477,8 +466,8 @@
 
     // Guards against a lost pull: whatever else goes on, the client gets its answer while it listens.
     fn answer_before_the_hard_stop(&mut self, id: PullId) -> bool {
-        let late = self.pulls.get(&id).is_some_and(|held| self.now + self.early >= held.pull.hard_stop);
-        late && self.give_up(id)
+        let late = |held: &Held| self.now + self.early >= held.pull.hard_stop;
+        self.pulls.get(&id).is_some_and(late) && self.give_up(id)
     }
 
     fn give_up_when_nothing_may_follow(&mut self, id: PullId) -> bool {
@@ -538,9 +527,7 @@
         let fresh = |out: &&mut Out| !out.noted && out.overdue <= now;
         let Some(out) = held.out.iter_mut().find(fresh) else { return false };
         out.noted = true;
-        if let Some(host) = self.hosts.get_mut(&out.host).filter(|host| !host.is(Role::Cache)) {
-            host.widen(false);
-        }
+        self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.widen(false));
         let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard <= out.sent);
         let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
         if let Some(culprit) = culprit {
@@ -601,10 +588,8 @@
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
     fn in_hash_order(&self, role: Role, object: ObjectId) -> Vec<&Host> {
-        let mine = |host: &&Host| {
-            let near = role != Role::Cache || self.mine(host);
-            host.is(role) && near && host.line.standing == Standing::InService
-        };
+        let near = |host: &Host| role != Role::Cache || self.mine(host);
+        let mine = |h: &&Host| h.is(role) && near(h) && h.line.standing == Standing::InService;
         let score = |host: &Host| {
             let draw = (mix(mix(object.0) ^ host.hash) >> 11) as f64 + 1.0;
             -(draw / (1u64 << 53) as f64).ln() / host.line.weight.max(0.01)
@@ -660,7 +645,7 @@
             origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
-            let clear = origin.filter(|host| host.usable() && host.room() && new(host));
+            let clear = origin.filter(|host| host.usable() && host.in_hand < host.window && new(host));
             let usual = parents.iter().find(set).copied().or(clear).or(first);
             out.or(origin.filter(|host| trial(&host))).or(usual)
         };
@@ -674,18 +659,18 @@
         let (through, work) = (kind.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
-        let roomy =
-            self.link_place.is_some() && self.link.0 < LINK_FULL * LINK_ROOM && work < kind.mean_work && open;
+        let little = self.link_place.is_some() && self.link.0 < LINK_FULL * LINK_ROOM;
+        let roomy = open && little && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
         let straight = self.direct && (through || lost || roomy);
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
         let origin = self.origin().filter(|h| h.usable()).map(|h| h.line.host.clone());
-        let fits = |id| through || (self.hosts[id].room() && self.in_scope(held, &self.hosts[id]));
+        let fits = |h: &Host| through || (h.in_hand < h.window && self.in_scope(held, h));
         let (host, source) = match (cache, self.pick_source(held)) {
             _ if held.missed && !open => return false,
             (Some(cache), Some(source)) if open => (cache, source),
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(first)) if straight && fits(&first) => (first.clone(), origin.unwrap_or(first)),
+            (None, Some(to)) if straight && fits(&self.hosts[&to]) => (to.clone(), origin.unwrap_or(to)),
             _ => return false,
         };
         let behind = &self.hosts[&source];
@@ -712,15 +697,13 @@
             oldest,
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
-        let cost = if past { work } else { kind.cost(work) };
-        let leg = Leg(held.legs);
+        let (leg, cost) = (Leg(held.legs), if past { work } else { kind.cost(work) });
         for (id_of, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
             let Some(host) = self.hosts.get_mut(id_of) else { continue };
             host.in_hand += 1.0;
-            host.next_trial = now + TRIAL;
-            host.spent.push_back((now, id, leg, cost));
-            let old = |(at, ..): &(Time, PullId, Leg, f64)| now.since(*at) > self.cache_ramp.window;
-            while host.spent.pop_front_if(|spent| old(spent)).is_some() {}
+            host.next_trial = if through { host.next_trial } else { now + TRIAL };
+            host.spent.push((now, id, leg, cost));
+            host.spent.retain(|(at, ..)| now.since(*at) <= self.cache_ramp.window);
         }
         self.due.insert((now + patience, id));
         let held = self.pulls.get_mut(&id).expect("just seen");
