--- a/src/brain.rs
+++ b/src/brain.rs
@@ -25,7 +25,6 @@
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_ROOM: f64 = 0.3; // share of that up to which pulls without a cache may use it too
-const LINK_NEW: f64 = 0.25; // fills between two reports, a full-pace place: what may come unseen
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
@@ -175,8 +174,8 @@
     kinds: Vec<Kind>,
     zone: ZoneId,
     zone_mates: f64,
-    /// The location's link by the last report, when that came, and fills sent since.
-    link: (f64, Time, f64),
+    /// The location's link by the last report, and when that came.
+    link: (f64, Time),
     link_place: Option<usize>,
     cache_ramp: Ramp,
     parent_ramp: Ramp,
@@ -225,7 +224,7 @@
             kinds: terms.workloads.into_iter().map(Kind::new).collect(),
             zone: terms.zone,
             zone_mates: mates,
-            link: (0.0, now, 0.0),
+            link: (0.0, now),
             link_place: terms.load_link,
             cache_ramp,
             parent_ramp,
@@ -352,7 +351,7 @@
         let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
         let link = self.link_place.and_then(|place| ended.load.get(place));
         if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
-            self.link = (*link, self.now, 0.0);
+            self.link = (*link, self.now);
         }
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
@@ -579,11 +578,10 @@
     // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
     // full only hits are asked for, and known misses wait for room, the small ones first.
     fn link_open(&self, work: f64, mean: f64) -> bool {
-        let (full, at, sent) = self.link;
-        let places: f64 = self.hosts.values().filter(|h| self.mine(h)).map(|h| h.line.weight).sum();
+        let (full, at) = self.link;
         let bias = (mean / work.max(1.0)).clamp(1.0 / LINK_BIAS, LINK_BIAS);
         let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
-        !known || (full < LINK_FULL * bias && sent < 1.0 + places * LINK_NEW / self.zone_mates)
+        !known || full < LINK_FULL * bias
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
@@ -708,7 +706,6 @@
         self.due.insert((now + patience, id));
         let held = self.pulls.get_mut(&id).expect("just seen");
         self.seen.insert(held.pull.object, now);
-        self.link.2 += f64::from(u8::from(held.missed || past));
         held.legs += 1;
         let (sent, overdue, noted, silent) = (now, now + patience, false, false);
         held.out.push(Out { leg, host, source, sent, overdue, noted, silent, trial });
