A pull asked again keeps the promised time of the try that was given up

Cause: under overload half of the pulls were asked again; each got a new promise and took room from those that could still be in time, while gain counts from the first try. Could harm where a client's mark is wrong.

--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -269,6 +269,7 @@
             group: GroupId(fields.whole_or_none("set_no")?.unwrap_or(0)),
             size_kb: fields.number_or_none("bytes_k")?.filter(|kb| *kb > 0.0),
             hard_stop: fields.time("expires_ms")?,
+            again: fields.flag_or_false("again_by_client")?,
         })
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -192,6 +192,8 @@
     pulls: BTreeMap<PullId, Held>,
     purges: Vec<(Option<ObjectId>, GroupId, Time)>,
     seen: BTreeMap<ObjectId, Time>,
+    /// When pulls given up were promised, for clients that ask again.
+    owed: BTreeMap<(ObjectId, u64), Time>,
     due: BTreeSet<(Time, PullId)>,
     agenda: BTreeSet<PullId>,
     next_tidy: Time,
@@ -241,6 +243,7 @@
             pulls: BTreeMap::new(),
             purges: Vec::new(),
             seen: BTreeMap::new(),
+            owed: BTreeMap::new(),
             due: BTreeSet::new(),
             agenda: BTreeSet::new(),
             next_tidy: now + TIDY,
@@ -283,7 +286,9 @@
             kind.mean_work += (work - kind.mean_work) / kind.samples;
         }
         let work = told.unwrap_or(kind.mean_work);
-        let promised = now + kind.promised + Span::of_ms(work * kind.stretch);
+        // A client that asks again waits since its first try, so an old promise holds for the new pull too.
+        let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
+        let promised = owed.unwrap_or(now + kind.promised + Span::of_ms(work * kind.stretch));
         let (id, stop) = (pull.id, pull.hard_stop - self.early);
         let (out, tried, legs, pauses, ran) = (Vec::new(), Vec::new(), 0, 0, None);
         let (not_before, missed, done) = (now, false, false);
@@ -421,6 +426,7 @@
         if now >= self.next_tidy {
             self.next_tidy = now + TIDY;
             self.seen.retain(|_, at| now.since(*at) < REMEMBER);
+            self.owed.retain(|_, promised| now.since(*promised) < REMEMBER);
             self.purges.retain(|(.., made)| now.since(*made) < self.settles + TIDY);
             self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
         }
@@ -482,6 +488,7 @@
             Repeats::Reissuable | Repeats::Numbered { scope: Scope::All, .. } => true,
             _ => held.ran.is_none() && held.out.is_empty(),
         };
+        self.owed.insert((held.pull.object, held.pull.part), held.promised);
         let bounced = Final::Bounced { pull: id, come_back: self.come_back };
         self.out.finals.push(if harmless { bounced } else { Final::Forfeited { pull: id } });
         self.close(id);
--- a/src/words.rs
+++ b/src/words.rs
@@ -197,6 +197,8 @@
     pub size_kb: Option<f64>,
     /// When the client gives this try up.
     pub hard_stop: Time,
+    /// The client says that it asks again.
+    pub again: bool,
 }
 
 /// How a hand-off ended.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -9,6 +9,7 @@
     pub finals: Vec<Final>,
     pub cancels: Vec<Cancel>,
     pub sent: Vec<(Leg, HandOff)>,
+    pub again: bool,
     next: u64,
 }
 
@@ -72,7 +73,7 @@
         let now = Time::at_ms(100_000.0);
         let (brain, _) = Brain::start(now, 7, terms);
         let (finals, cancels, sent) = (Vec::new(), Vec::new(), Vec::new());
-        let mut fake = Fake { brain, now, finals, cancels, sent, next: 0 };
+        let mut fake = Fake { brain, now, finals, cancels, sent, again: false, next: 0 };
         fake.list(hosts);
         fake
     }
@@ -109,7 +110,8 @@
         self.next += 1;
         let (at, id, hard_stop) = (self.sent.len(), PullId(self.next), self.now + Span::from_ms(4000));
         let (workload, object, group) = (WorkloadId(workload), ObjectId(object), GroupId(object % 4));
-        let pull = Pull { id, workload, object, part: 0, group, size_kb: Some(kb), hard_stop };
+        let pull =
+            Pull { id, workload, object, part: 0, group, size_kb: Some(kb), hard_stop, again: self.again };
         let decisions = self.brain.pull(self.now, pull);
         self.apply(decisions);
         at
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -244,3 +244,16 @@
     fake.pass(3500);
     assert!(fake.finals.iter().any(|last| matches!(last, Final::Bounced { come_back: Some(_), .. })));
 }
+
+#[test]
+fn a_pull_asked_again_is_not_promised_anew() {
+    let mut fake = Fake::new(terms(), Vec::new());
+    fake.pull(0, 1);
+    fake.pass(700);
+    assert_eq!(fake.finals.len(), 1, "no host came up in time");
+    fake.again = true;
+    fake.pull(0, 1);
+    assert_eq!(fake.finals.len(), 2, "its time has passed: the client is told at once");
+    fake.pull(0, 2);
+    assert_eq!(fake.finals.len(), 2, "another's has not");
+}
