--- a/src/brain.rs
+++ b/src/brain.rs
@@ -38,6 +38,7 @@
 const MOST_DOUBLED: u32 = 4; // doublings of that pause: then it is near a second
 const COME_BACK: Span = Span::from_ms(300); // named to bounced clients: a few of the transfers in hand
 const TIDY: Span = Span::from_ms(1000); // the periodic timer: memory only, so a second will do
+const UNMARKED: Span = Span::from_ms(1000); // past its promise that an unmarked pull counts as asked again
 const REMEMBER: Span = Span::from_ms(60_000); // how long an object counts as seen: several cache lifetimes
 const TICKS_EARLY: f64 = 3.0; // ticks before the hard stop at which a pull gets its answer: one may slip
 const HAIR: Span = Span::from_ms(1); // taken off an age limit, and its least: the wire rounds
@@ -185,6 +186,7 @@
     most_hand_offs: u32,
     duplicates: bool,
     cancels: bool,
+    marked: bool,
     joins: bool,
     direct: bool,
     kb_per_ms: f64,
@@ -236,6 +238,7 @@
             most_hand_offs: terms.most_hand_offs.max(1),
             duplicates: terms.may_duplicate,
             cancels: terms.may_cancel,
+            marked: terms.clients_mark,
             joins: terms.joins,
             direct: terms.direct,
             kb_per_ms: terms.client_kb_per_s / 1000.0,
@@ -287,7 +290,10 @@
         }
         let work = told.unwrap_or(kind.mean_work);
         // A client that asks again waits since its first try, so an old promise holds for the new pull too.
-        let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
+        let owed = self
+            .owed
+            .remove(&(pull.object, pull.part))
+            .filter(|at| pull.again || (!self.marked && now < *at + UNMARKED));
         let promised = owed.unwrap_or(now + kind.promised + Span::of_ms(work * kind.stretch));
         let (id, stop) = (pull.id, pull.hard_stop - self.early);
         let (out, tried, legs, pauses, ran) = (Vec::new(), Vec::new(), 0, 0, None);
--- a/src/words.rs
+++ b/src/words.rs
@@ -132,6 +132,7 @@
     pub zone_dispatchers: Vec<u32>,
     pub dispatchers: u32,
     pub tick: Span,
+    pub clients_mark: bool,
     pub may_cancel: bool,
     pub may_duplicate: bool,
     pub may_name_return: bool,
