--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -206,10 +206,6 @@
             zone_dispatchers: family.numbers("count_by_zone")?.iter().map(|n| *n as u32).collect(),
             dispatchers,
             tick: params.span("tick_ms")?,
-            clients_mark: match params.get("clients") {
-                Some(clients) => Fields::of(clients, "clients")?.flag_or_false("marks_retry")?,
-                None => false,
-            },
             may_cancel: allowed.flag_or_false("cancel")?,
             may_duplicate: allowed.flag_or_false("may_duplicate")?,
             may_name_return: allowed.flag_or_false("retry_after")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -21,10 +21,11 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
+const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
-const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; fills are quicker than answers
+const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; a fill outruns an answer
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
-const LINK_ROOM: f64 = 0.3; // share of that up to which pulls without a cache may use it too
+const LINK_IDLE: f64 = 0.7; // the same up to which pulls without a cache may use it: fills come first
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
@@ -38,7 +39,6 @@
 const MOST_DOUBLED: u32 = 4; // doublings of that pause: then it is near a second
 const COME_BACK: Span = Span::from_ms(300); // named to bounced clients: a few of the transfers in hand
 const TIDY: Span = Span::from_ms(1000); // the periodic timer: memory only, so a second will do
-const UNMARKED: Span = Span::from_ms(1000); // past its promise that an unmarked pull counts as asked again
 const REMEMBER: Span = Span::from_ms(60_000); // how long an object counts as seen: several cache lifetimes
 const TICKS_EARLY: f64 = 3.0; // ticks before the hard stop at which a pull gets its answer: one may slip
 const HAIR: Span = Span::from_ms(1); // taken off an age limit, and its least: the wire rounds
@@ -186,7 +186,6 @@
     most_hand_offs: u32,
     duplicates: bool,
     cancels: bool,
-    marked: bool,
     joins: bool,
     direct: bool,
     kb_per_ms: f64,
@@ -238,7 +237,6 @@
             most_hand_offs: terms.most_hand_offs.max(1),
             duplicates: terms.may_duplicate,
             cancels: terms.may_cancel,
-            marked: terms.clients_mark,
             joins: terms.joins,
             direct: terms.direct,
             kb_per_ms: terms.client_kb_per_s / 1000.0,
@@ -290,10 +288,7 @@
         }
         let work = told.unwrap_or(kind.mean_work);
         // A client that asks again waits since its first try, so an old promise holds for the new pull too.
-        let owed = self
-            .owed
-            .remove(&(pull.object, pull.part))
-            .filter(|at| pull.again || (!self.marked && now < *at + UNMARKED));
+        let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
         let promised = owed.unwrap_or(now + kind.promised + Span::of_ms(work * kind.stretch));
         let (id, stop) = (pull.id, pull.hard_stop - self.early);
         let (out, tried, legs, pauses, ran) = (Vec::new(), Vec::new(), 0, 0, None);
@@ -445,8 +440,7 @@
         }
         let next = self.due.first().map_or(self.next_tidy, |(at, _)| self.next_tidy.min(*at));
         if self.wake_at.is_none_or(|at| at <= now || next < at) {
-            self.wake_at = Some(next);
-            self.out.wake = Some(next);
+            self.out.wake = Some(*self.wake_at.insert(next));
         }
         std::mem::take(&mut self.out)
     }
@@ -459,9 +453,7 @@
     }
 
     fn drop_what_is_done(&mut self, id: PullId) -> bool {
-        if self.pulls.get(&id).is_none_or(|held| !held.done) {
-            return false;
-        }
+        let Some(_) = self.pulls.get(&id).filter(|held| held.done) else { return false };
         let held = self.pulls.remove(&id).expect("just seen");
         self.due.remove(&(held.pull.hard_stop - self.early, id));
         for out in &held.out {
@@ -514,10 +506,8 @@
     }
 
     fn hand_off_what_waits(&mut self, id: PullId) -> bool {
-        let waits = |held: &Held| held.out.is_empty() && self.now >= held.not_before;
-        if !self.pulls.get(&id).is_some_and(waits) {
-            return false;
-        }
+        let waits = |held: &&Held| held.out.is_empty() && self.now >= held.not_before;
+        let Some(_) = self.pulls.get(&id).filter(waits) else { return false };
         if !self.hand_off(id) {
             // Guards against overload in which all come late: what can't come in time makes room at once.
             let held = self.pulls.get_mut(&id).expect("just seen");
@@ -554,9 +544,8 @@
         let Some(held) = self.pulls.get(&id) else { return false };
         let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
         let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent);
-        let left = held.pull.hard_stop.since(self.now).ms();
         let allowed = self.duplicates && reissuable && silent && self.may_follow(held);
-        allowed && left > held.work + SLACK.ms() && self.hand_off(id)
+        allowed && held.pull.hard_stop.since(self.now).ms() > held.work + SLACK.ms() && self.hand_off(id)
     }
 
     fn ramp(&self, host: &Host) -> &Ramp {
@@ -633,9 +622,10 @@
         // On a full link only the cache that may hold it helps, so the hash is kept to for longer.
         let most = if open { least.min(ADMIT) } else { ADMIT };
         let left = held.promised.since(self.now).ms();
+        let full = if held.work < left { FULL } else { LATE_FULL };
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            load <= FULL || (load <= most && load * held.work < left)
+            load <= full || (load <= most && load * held.work < left)
         };
         order.iter().find(in_time).map(|host| host.line.host.clone())
     }
@@ -670,8 +660,8 @@
         let (through, work) = (kind.goes_through, held.work);
         let open = through || self.link_open(work, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
-        let little = self.link_place.is_some() && self.link.0 < LINK_FULL * LINK_ROOM;
-        let roomy = open && little && work < kind.mean_work;
+        let idle = self.link_place.is_some() && self.link.0 < LINK_IDLE;
+        let roomy = open && idle && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
         let straight = self.direct && (through || lost || roomy);
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
@@ -685,8 +675,7 @@
             _ => return false,
         };
         let behind = &self.hosts[&source];
-        let past = !self.hosts[&host].is(Role::Cache);
-        let trial = behind.next_trial <= now;
+        let (past, trial) = (!self.hosts[&host].is(Role::Cache), behind.next_trial <= now);
         // Guards against a stopped origin being asked on by every parent, and against fills that hold their
         // places until they time out behind it.
         let stopped = self.origin().is_some_and(|origin| !origin.usable() && origin.next_trial > now);
@@ -695,8 +684,8 @@
         let slow = self.load(&self.hosts[&host]).max(1.0);
         let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
-        let left = held.pull.hard_stop.since(now);
-        let cut = kind.repeats == Repeats::Reissuable && !self.duplicates;
+        let (left, cut) =
+            (held.pull.hard_stop.since(now), kind.repeats == Repeats::Reissuable && !self.duplicates);
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
--- a/src/words.rs
+++ b/src/words.rs
@@ -132,7 +132,6 @@
     pub zone_dispatchers: Vec<u32>,
     pub dispatchers: u32,
     pub tick: Span,
-    pub clients_mark: bool,
     pub may_cancel: bool,
     pub may_duplicate: bool,
     pub may_name_return: bool,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -42,7 +42,6 @@
         zone_dispatchers: vec![1, 0],
         dispatchers: 2,
         tick: Span::from_ms(2),
-        clients_mark: true,
         may_cancel: true,
         may_duplicate: true,
         may_name_return: true,
