--- a/src/brain.rs
+++ b/src/brain.rs
@@ -579,9 +579,11 @@
 
     // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
     // full only hits are asked for, and known misses wait for room, the small ones first.
-    fn link_open(&self, work: f64, mean: f64) -> bool {
+    fn link_open(&self, held: &Held, mean: f64) -> bool {
         let (full, at) = self.link;
-        let bias = (mean / work.max(1.0)).clamp(1.0 / LINK_BIAS, LINK_BIAS);
+        let late = held.promised.since(self.now).ms() < held.work;
+        let small = if late { 0.0 } else { mean / held.work.max(1.0) };
+        let bias = small.clamp(1.0 / LINK_BIAS, LINK_BIAS);
         let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
         !known || full < LINK_FULL * bias
     }
@@ -658,7 +660,7 @@
         let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.goes_through, held.work);
-        let open = through || self.link_open(work, kind.mean_work);
+        let open = through || self.link_open(held, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
         let idle = self.link_place.is_some() && self.link.0 < LINK_IDLE;
         let roomy = open && idle && work < kind.mean_work;
