--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -64,15 +64,17 @@
                 }
             }
             "EofBatch" => {
-                if self.now.take().is_none() {
-                    return Err(Fault::Input("EofBatch without a Mark".into()));
-                }
+                let open = self.now.take().is_some();
                 for action in self.reply.drain(..) {
                     serde_json::to_writer(&mut *output, &action).map_err(io::Error::from)?;
                     output.write_all(b"\n")?;
                 }
                 output.write_all(b"{\"event_type\":\"End\"}\n")?;
                 output.flush()?;
+                // The other side waits for a reply all the same.
+                if !open {
+                    return Err(Fault::Input("EofBatch without a Mark".into()));
+                }
             }
             _ => {
                 let now = self.now.ok_or_else(|| format!("{name} outside a batch"))?;
@@ -222,6 +224,7 @@
             joins: family.flag_or_false("collapses")?,
             client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
             purge_settles: family.span_or_zero("purge_settles_ms")?,
+            load_in_hand: place(&report, "outstanding"),
             load_link: place(&report, "x1"),
         };
         let (brain, decisions) = Brain::start(now, seed, terms);
--- a/src/words.rs
+++ b/src/words.rs
@@ -148,7 +148,8 @@
     pub joins: bool,
     pub client_kb_per_s: f64,
     pub purge_settles: Span,
-    /// Where in [`Ended::load`] the fullness of the location's link stands.
+    /// Where in [`Ended::load`] the pulls in hand and the fullness of the location's link stand.
+    pub load_in_hand: Option<usize>,
     pub load_link: Option<usize>,
 }
 
