--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -224,7 +224,6 @@
             joins: family.flag_or_false("collapses")?,
             client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
             purge_settles: family.span_or_zero("purge_settles_ms")?,
-            load_in_hand: place(&report, "outstanding"),
             load_link: place(&report, "x1"),
         };
         let (brain, decisions) = Brain::start(now, seed, terms);
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,8 +22,8 @@
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
 const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
+const OWN: f64 = 0.5; // weight of own pulls at a host, against own at all, as a guess at other dispatchers'
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
-const LOAD_OLD: Span = Span::from_ms(1000); // age at which a report of pulls in hand says nothing more
 const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; a fill outruns an answer
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_IDLE: f64 = 0.7; // the same up to which pulls without a cache may use it: fills come first
@@ -109,8 +109,6 @@
     measures: [Option<f64>; 2],
     beaten: [u32; 2],
     in_hand: f64,
-    /// What others have at it by its last report, and when that came.
-    others: (f64, Time),
     /// How many hand-offs may be out past the parents or past the caches at once.
     window: f64,
     spent: Vec<(Time, PullId, Leg, f64)>,
@@ -122,8 +120,7 @@
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, Vec::new());
         let (window, measures, beaten, heard) = (WINDOW, [None; 2], [0; 2], now);
-        let others = (0.0, Time::default());
-        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, others, window, spent }
+        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, window, spent }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -182,7 +179,6 @@
     /// The location's link by the last report, and when that came.
     link: (f64, Time),
     link_place: Option<usize>,
-    hand_place: Option<usize>,
     cache_ramp: Ramp,
     parent_ramp: Ramp,
     early: Span,
@@ -234,7 +230,6 @@
             zone_mates: mates,
             link: (0.0, now),
             link_place: terms.load_link,
-            hand_place: terms.load_in_hand,
             cache_ramp,
             parent_ramp,
             early: terms.tick * TICKS_EARLY,
@@ -361,7 +356,6 @@
     fn release(&mut self, out: &Out, ended: &Ended) {
         use Ending::*;
         let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
-        let all = self.hand_place.and_then(|place| ended.load.get(place)).copied();
         let link = self.link_place.and_then(|place| ended.load.get(place));
         if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
             self.link = (*link, self.now);
@@ -369,9 +363,6 @@
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
             host.leave();
-            if let Some(all) = all.filter(|_| id == &out.host) {
-                host.others = ((all - host.in_hand).max(0.0), self.now);
-            }
             // Whatever a host answers, a failed fill too, shows that it is not silent.
             host.heard = if id == &out.host && alive { self.now } else { host.heard };
             if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
@@ -576,8 +567,10 @@
     /// Pulls in hand over the places at full pace, as far as this dispatcher can know.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
-        let told = self.now.since(host.others.1) < LOAD_OLD && self.zone_mates > 1.0;
-        let others = if told { host.others.0 } else { host.in_hand * (self.zone_mates - 1.0) };
+        let caches = || self.hosts.values().filter(|host| self.mine(host));
+        let places: f64 = caches().map(|cache| cache.line.weight).sum();
+        let even = caches().map(|cache| cache.in_hand).sum::<f64>() * host.line.weight / places.max(0.1);
+        let others = (self.zone_mates - 1.0) * (OWN * host.in_hand + (1.0 - OWN) * even);
         (host.in_hand + others + 1.0) / (host.line.weight * part).max(0.1)
     }
 
--- a/src/words.rs
+++ b/src/words.rs
@@ -148,8 +148,7 @@
     pub joins: bool,
     pub client_kb_per_s: f64,
     pub purge_settles: Span,
-    /// Where in [`Ended::load`] the pulls in hand and the fullness of the location's link stand.
-    pub load_in_hand: Option<usize>,
+    /// Where in [`Ended::load`] the fullness of the location's link stands.
     pub load_link: Option<usize>,
 }
 
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -58,7 +58,6 @@
         joins: true,
         client_kb_per_s: 1000.0,
         purge_settles: Span::from_ms(6000),
-        load_in_hand: None,
         load_link: Some(0),
     }
 }
