--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,9 +22,8 @@
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
 const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
-const OWN: f64 = 0.5; // weight of own pulls at a host, against own at all, as a guess at other dispatchers'
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
-const LINK_FULL: f64 = 2.4; // transfers on the location's link over those that fit; a fill outruns an answer
+const LINK_FULL: f64 = 3.0; // transfers on the location's link over those that fit; a fill outruns an answer
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_IDLE: f64 = 0.7; // the same up to which pulls without a cache may use it: fills come first
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
@@ -567,11 +566,7 @@
     /// Pulls in hand over the places at full pace, as far as this dispatcher can know.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
-        let caches = || self.hosts.values().filter(|host| self.mine(host));
-        let places: f64 = caches().map(|cache| cache.line.weight).sum();
-        let even = caches().map(|cache| cache.in_hand).sum::<f64>() * host.line.weight / places.max(0.1);
-        let others = (self.zone_mates - 1.0) * (OWN * host.in_hand + (1.0 - OWN) * even);
-        (host.in_hand + others + 1.0) / (host.line.weight * part).max(0.1)
+        (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
     }
 
     fn origin(&self) -> Option<&Host> {
