A hand-off without a fill weighs the mean at a cold cache

Cause: where host and source are one, the pull's own size was booked in place of the workload's mean, and on a full link the small ones go first.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -700,7 +700,7 @@
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
         let (leg, cost) = (Leg(held.legs), if past { work } else { kind.cost(work) });
-        for (id_of, cost) in BTreeMap::from([(&host, cost), (&source, work)]) {
+        for (id_of, cost) in BTreeMap::from([(&source, work), (&host, cost)]) { // if one, the mean
             let Some(host) = self.hosts.get_mut(id_of) else { continue };
             host.in_hand += 1.0;
             host.next_trial = if through { host.next_trial } else { now + TRIAL };
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -257,3 +257,20 @@
     fake.pull(0, 2);
     assert_eq!(fake.finals.len(), 2, "another's has not");
 }
+
+#[test]
+fn small_pulls_without_a_fill_weigh_the_mean_at_a_cold_cache() {
+    let mut fake = Fake::new(terms(), usual());
+    for object in 0..200 {
+        fake.fill(object, 100.0, Told::Held, |_| 0);
+    }
+    fake.pass(3000);
+    fake.list(vec![Listed { started: Some(Time::at_ms(103_000.0)), ..line("a", Role::Cache) }]);
+    let before = fake.sent.len();
+    for object in 0..400 {
+        let at = fake.pull_of(0, object, 10.0);
+        fake.end_with(at, Ending::Answered, Told::Held, 0, vec![20.0]);
+    }
+    let at_cache = fake.sent[before..].iter().filter(|(_, sent)| sent.host == host("a")).count();
+    assert!((10..60).contains(&at_cache), "{at_cache} to the cold cache");
+}
