--- a/src/brain.rs
+++ b/src/brain.rs
@@ -553,7 +553,7 @@
     }
 
     // Guards against a cold host being pushed over by all dispatchers together: each keeps to its share of
-    // what the worst ramp bears within any window.
+    // what the worst ramp bears within any window. A hand-off without a fill weighs the mean as well.
     fn cold_room(&self, host: &Host, cost: f64) -> bool {
         let ramp = self.ramp(host);
         let since = self.now - ramp.window;
@@ -700,7 +700,7 @@
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
         let (leg, cost) = (Leg(held.legs), if past { work } else { kind.cost(work) });
-        for (id_of, cost) in BTreeMap::from([(&source, work), (&host, cost)]) { // if one, the mean
+        for (id_of, cost) in BTreeMap::from([(&source, work), (&host, cost)]) {
             let Some(host) = self.hosts.get_mut(id_of) else { continue };
             host.in_hand += 1.0;
             host.next_trial = if through { host.next_trial } else { now + TRIAL };
