--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -90,7 +90,7 @@
             self.sheets.insert(fields.whole("sheet")?, Rc::new(rows.clone()));
             return Ok(());
         }
-        const KNOWN: [&str; 10] = [
+        const KNOWN: [&str; 11] = [
             "Launch",
             "Destroy",
             "Endpoints",
@@ -101,8 +101,9 @@
             "Dropped",
             "Started",
             "CheckResult",
+            "Whisper",
         ];
-        if !KNOWN.contains(&name) && name != "Whisper" {
+        if !KNOWN.contains(&name) {
             return Err("unknown event".into());
         }
         let who = fields.text("who")?;
