--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -274,3 +274,16 @@
     let at_cache = fake.sent[before..].iter().filter(|(_, sent)| sent.host == host("a")).count();
     assert!((10..60).contains(&at_cache), "{at_cache} to the cold cache");
 }
+
+#[test]
+fn with_its_caches_lost_a_location_goes_straight_but_not_without_bound() {
+    let hosts = usual().into_iter().filter(|line| line.role != Role::Cache).collect();
+    let mut fake = Fake::new(terms(), hosts);
+    for object in 0..200 {
+        fake.pull(0, object);
+    }
+    assert!(fake.sent.iter().all(|(_, s)| is_parent(&s.host) && s.source == host("o")));
+    assert!((10..100).contains(&fake.sent.len()), "{} sent at once", fake.sent.len());
+    fake.pass(2000);
+    assert!(fake.finals.len() > 100, "the rest is told in time");
+}
