--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,6 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::words::Ending::*;
 use crate::words::*;
 
 // Ratings (the design page's open values).
@@ -24,13 +25,13 @@
 const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 3.0; // transfers on the location's link over those that fit; a fill outruns an answer
-const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_IDLE: f64 = 0.7; // the same up to which pulls without a cache may use it: fills come first
+const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
 const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
-const WINDOW: f64 = 24.0; // hand-offs out with the origin as source at first: most end as hits
-const NARROWED: f64 = 0.8; // left of that after a slow or failed fill
+const WINDOW: f64 = 24.0; // hand-offs out past the parents or the caches at first: most end as hits
+const NARROWED: f64 = 0.8; // left of that after a slow or failed one
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
@@ -130,7 +131,7 @@
     fn praise(&mut self, now: Time, in_time: bool) {
         self.heard = now;
         self.widen(in_time);
-        self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON;
+        self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON; // rounds no trial below the floor
     }
     // Guards against a source that all dispatchers lean on when others fail: it slows, then stops.
     fn widen(&mut self, well: bool) {
@@ -265,8 +266,7 @@
         for line in lines {
             let known = self.hosts.entry(line.host.clone()).or_insert_with(|| Host::new(line.clone(), now));
             if known.line.started != line.started {
-                // A new process: nothing held, nothing known of it but its name.
-                *known = Host { in_hand: known.in_hand, ..Host::new(line.clone(), now) };
+                *known = Host { in_hand: known.in_hand, ..Host::new(line.clone(), now) }; // a new process
             }
             known.line = line;
             // Guards against a restarted dispatcher giving a cold host its share a second time.
@@ -353,7 +353,6 @@
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
-        use Ending::*;
         let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
         let link = self.link_place.and_then(|place| ended.load.get(place));
         if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
@@ -373,7 +372,6 @@
 
     // The measures of the paper's tables: latency and bandwidth of each source, reputation of all.
     fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
-        use Ending::*;
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
         let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
         let (now, behind) = (self.now, cached && out.source != out.host);
@@ -661,33 +659,35 @@
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.goes_through, held.work);
         let open = through || self.link_open(held, kind.mean_work);
+        if held.missed && !open {
+            return false;
+        }
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
-        let idle = self.link_place.is_some() && self.link.0 < LINK_IDLE;
-        let roomy = open && idle && work < kind.mean_work;
+        let idle = self.link_place.is_some() && self.link.0 < LINK_IDLE && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
-        let straight = self.direct && (through || lost || roomy);
+        let straight = self.direct && (through || lost || (open && idle));
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
-        let origin = self.origin().filter(|h| h.usable()).map(|h| h.line.host.clone());
+        let origin = self.origin();
+        let up = origin.filter(|origin| origin.usable()).map(|origin| &origin.line.host);
         let fits = |h: &Host| through || (h.in_hand < h.window && self.in_scope(held, h));
         let (host, source) = match (cache, self.pick_source(held)) {
-            _ if held.missed && !open => return false,
             (Some(cache), Some(source)) if open => (cache, source),
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(to)) if straight && fits(&self.hosts[&to]) => (to.clone(), origin.unwrap_or(to)),
+            (None, Some(to)) if straight && fits(&self.hosts[&to]) => (to.clone(), up.cloned().unwrap_or(to)),
             _ => return false,
         };
         let behind = &self.hosts[&source];
         let (past, trial) = (!self.hosts[&host].is(Role::Cache), behind.next_trial <= now);
         // Guards against a stopped origin being asked on by every parent, and against fills that hold their
         // places until they time out behind it.
-        let stopped = self.origin().is_some_and(|origin| !origin.usable() && origin.next_trial > now);
+        let stopped = origin.is_some_and(|origin| !origin.usable() && origin.next_trial > now);
         let only_held = stopped && behind.is(Role::Parent) && !through;
         let oldest = self.oldest(&held.pull, kind.fresh);
         let slow = self.load(&self.hosts[&host]).max(1.0);
         let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
-        let (left, cut) =
-            (held.pull.hard_stop.since(now), kind.repeats == Repeats::Reissuable && !self.duplicates);
+        let left = held.pull.hard_stop.since(now);
+        let cut = kind.repeats == Repeats::Reissuable && !self.duplicates;
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
