--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -208,6 +208,7 @@
             zone: ZoneId(zone),
             zone_dispatchers: family.numbers("count_by_zone")?.iter().map(|n| *n as u32).collect(),
             dispatchers,
+            number: params.number_or("my_number", 0.0)? as u32,
             tick: params.span("tick_ms")?,
             may_cancel: allowed.flag_or_false("cancel")?,
             may_duplicate: allowed.flag_or_false("may_duplicate")?,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -59,7 +59,9 @@
     from: f64,
     within: Span,
     window: Span,
-    share: f64,
+    /// What all dispatchers together may ask of it, over its capacity; and how many they are.
+    most: f64,
+    dispatchers: f64,
 }
 
 impl Ramp {
@@ -176,6 +178,7 @@
     kinds: Vec<Kind>,
     zone: ZoneId,
     zone_mates: f64,
+    number: u64,
     /// The location's link by the last report, and when that came.
     link: (f64, Time),
     link_place: Option<usize>,
@@ -215,8 +218,8 @@
         let mates = terms.zone_dispatchers.get(terms.zone.0).copied().unwrap_or(1).max(1) as f64;
         let all = terms.dispatchers.max(1) as f64;
         let ramp = |from, within, factor: f64, dispatchers: f64| {
-            let share = (factor * COLD_USE).min(COLD_MOST) / dispatchers;
-            Ramp { from, within, window: terms.fall_window, share }
+            let most = (factor * COLD_USE).min(COLD_MOST);
+            Ramp { from, within, window: terms.fall_window, most, dispatchers }
         };
         let cache_ramp = ramp(terms.cold_from, terms.warm_within, terms.overload_factor, mates);
         let factor = terms.parent_overload_factor;
@@ -228,6 +231,7 @@
             kinds: terms.workloads.into_iter().map(Kind::new).collect(),
             zone: terms.zone,
             zone_mates: mates,
+            number: u64::from(terms.number),
             link: (0.0, now),
             link_place: terms.load_link,
             cache_ramp,
@@ -551,14 +555,24 @@
     }
 
     // Guards against a cold host being pushed over by all dispatchers together: each keeps to its share of
-    // what the worst ramp bears within any window. A hand-off without a fill weighs the mean as well.
+    // what the worst ramp bears within any window. A hand-off without a fill weighs the mean as well. Guards
+    // too against shares below one pull, by which nobody would warm a parent: then those whose turn it is by
+    // their numbers have a mean pull each, and the more it bears, the more they are.
     fn cold_room(&self, host: &Host, cost: f64) -> bool {
         let ramp = self.ramp(host);
         let since = self.now - ramp.window;
         let part = ramp.part(host.line.started, since);
+        if part >= 1.0 || host.is(Role::Origin) {
+            return true;
+        }
         let spent = host.spent.iter().filter(|(at, ..)| *at > since).map(|(.., cost)| cost).sum::<f64>();
-        let bears = ramp.share * part * host.line.weight * ramp.window.ms();
-        part >= 1.0 || host.is(Role::Origin) || spent + cost <= bears
+        let bears = ramp.most * part * host.line.weight * ramp.window.ms();
+        let mean = self.kinds.iter().map(|kind| kind.mean_work).fold(1.0, f64::max);
+        let all = if host.is(Role::Cache) { 0.0 } else { ramp.dispatchers };
+        let turns = (bears / mean).floor();
+        let turn = host.hash.wrapping_add(self.number) % (ramp.dispatchers as u64);
+        let share = if turns >= all { bears / ramp.dispatchers } else { mean };
+        (turns >= all || (turn as f64) < turns) && spent + cost <= share
     }
 
     /// Pulls in hand over the places at full pace, as far as this dispatcher can know.
--- a/src/words.rs
+++ b/src/words.rs
@@ -131,6 +131,8 @@
     /// Dispatchers in each zone, and in all.
     pub zone_dispatchers: Vec<u32>,
     pub dispatchers: u32,
+    /// This dispatcher's number among all, from 0.
+    pub number: u32,
     pub tick: Span,
     pub may_cancel: bool,
     pub may_duplicate: bool,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -41,6 +41,7 @@
         zone: ZoneId(0),
         zone_dispatchers: vec![1, 0],
         dispatchers: 2,
+        number: 0,
         tick: Span::from_ms(2),
         may_cancel: true,
         may_duplicate: true,
