Objects leave a loaded cache one by one; reports in the load; a window at every source

Change: each object leaves a cache at a load of its own, by what the hash draws (the same ones at every dispatcher, no herd); the load mixes in the host's reported pulls, more the more dispatchers there are; fills keep to the source's window at parents too, past it only hits are asked for. What else: hot caches, any slow source. Harm: a report that stays wrong for 2 s.

--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -35,6 +35,8 @@
     workloads: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
+    /// What the values of a load report are.
+    report: Vec<String>,
     parent_kind: Option<usize>,
     origin_kind: Option<usize>,
 }
@@ -138,7 +140,7 @@
                 seat.brain.pull(now, pull)
             }
             "Resolved" => {
-                let ended = ended(fields)?;
+                let ended = seat.ended(fields)?;
                 seat.brain.hand_off_ended(now, ended)
             }
             "Outdated" => {
@@ -208,7 +210,6 @@
             zone: ZoneId(zone),
             zone_dispatchers: family.numbers("count_by_zone")?.iter().map(|n| *n as u32).collect(),
             dispatchers,
-            number: params.number_or("my_number", 0.0)? as u32,
             tick: params.span("tick_ms")?,
             may_cancel: allowed.flag_or_false("cancel")?,
             may_duplicate: allowed.flag_or_false("may_duplicate")?,
@@ -226,11 +227,10 @@
             joins: family.flag_or_false("collapses")?,
             client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
             purge_settles: family.span_or_zero("purge_settles_ms")?,
-            load_link: place(&report, "x1"),
         };
         let (brain, decisions) = Brain::start(now, seed, terms);
         let origin_kind = kind_place(family.number_or_none("source_kind")?);
-        Ok((Seat { brain, workloads: names, zones, kinds, parent_kind, origin_kind }, decisions))
+        Ok((Seat { brain, workloads: names, zones, kinds, report, parent_kind, origin_kind }, decisions))
     }
 
     fn listed(&self, rows: &[Value]) -> Result<Vec<Listed>, String> {
@@ -276,6 +276,46 @@
             again: fields.flag_or_false("again_by_client")?,
         })
     }
+
+    fn ended(&self, fields: &Fields) -> Result<Ended, String> {
+        let values = fields.numbers("stats")?;
+        let told = |name| place(&self.report, name).and_then(|place| values.get(place)).copied();
+        Ok(Ended {
+            pull: PullId(fields.whole("request_id")?),
+            leg: Leg(fields.whole("leg")? as u32),
+            host: HostId(fields.text("host")?.into()),
+            ending: match fields.text("reason")? {
+                "S" => Ending::Answered,
+                "E" => Ending::Errored,
+                "F" => Ending::TurnedAway,
+                "T" => Ending::TimedOut,
+                "C" => Ending::NotConnected,
+                "R" => Ending::Broken,
+                "X" => Ending::Cancelled,
+                "N" => Ending::NotSent,
+                "M" => Ending::NoCopy,
+                other => return Err(format!("unknown outcome {other}")),
+            },
+            took: fields.span_or_zero("latency_ms")?,
+            closed: fields.flag_or_false("no_more")?,
+            told: match fields.whole_or_none("detail")?.unwrap_or(0) {
+                1 => Told::Held,
+                2 => Told::Filled,
+                3 => Told::FilledThroughOrigin,
+                4 => Told::Joined,
+                5 => Told::Aged,
+                6 => Told::SourceRefused,
+                7 => Told::SourceUnreached,
+                8 => Told::SourceLacks,
+                9 => Told::NoPlace,
+                10 => Told::OriginFailed,
+                _ => Told::Nothing,
+            },
+            waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
+            link: told("x1"),
+            in_hand: told("outstanding"),
+        })
+    }
 }
 
 fn repeats(class: &Fields) -> Result<Repeats, String> {
@@ -295,43 +335,6 @@
     })
 }
 
-fn ended(fields: &Fields) -> Result<Ended, String> {
-    Ok(Ended {
-        pull: PullId(fields.whole("request_id")?),
-        leg: Leg(fields.whole("leg")? as u32),
-        host: HostId(fields.text("host")?.into()),
-        ending: match fields.text("reason")? {
-            "S" => Ending::Answered,
-            "E" => Ending::Errored,
-            "F" => Ending::TurnedAway,
-            "T" => Ending::TimedOut,
-            "C" => Ending::NotConnected,
-            "R" => Ending::Broken,
-            "X" => Ending::Cancelled,
-            "N" => Ending::NotSent,
-            "M" => Ending::NoCopy,
-            other => return Err(format!("unknown outcome {other}")),
-        },
-        took: fields.span_or_zero("latency_ms")?,
-        closed: fields.flag_or_false("no_more")?,
-        told: match fields.whole_or_none("detail")?.unwrap_or(0) {
-            1 => Told::Held,
-            2 => Told::Filled,
-            3 => Told::FilledThroughOrigin,
-            4 => Told::Joined,
-            5 => Told::Aged,
-            6 => Told::SourceRefused,
-            7 => Told::SourceUnreached,
-            8 => Told::SourceLacks,
-            9 => Told::NoPlace,
-            10 => Told::OriginFailed,
-            _ => Told::Nothing,
-        },
-        waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
-        load: fields.numbers("stats")?,
-    })
-}
-
 fn encode(who: &str, now: Time, decisions: Decisions, reply: &mut Vec<Value>) {
     for cancel in decisions.cancels {
         reply.push(json!({"event_type": "UndoSend", "who": who, "request_id": cancel.pull.0,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,14 +22,16 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
+const STAYS: [f64; 2] = [0.4, 1.5]; // times FULL at which objects move, by their draw: not all at once
 const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 3.0; // transfers on the location's link over those that fit; a fill outruns an answer
 const LINK_IDLE: f64 = 0.7; // the same up to which pulls without a cache may use it: fills come first
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
-const LINK_OLD: Span = Span::from_ms(2000); // age at which a report of the link says nothing more
+const OLD: Span = Span::from_ms(2000); // age at which a report says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
+const DOUBT: f64 = 8.0; // others from which on a report counts more than the own guess
 const WINDOW: f64 = 24.0; // hand-offs out past the parents or the caches at first: most end as hits
 const NARROWED: f64 = 0.8; // left of that after a slow or failed one
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
@@ -59,9 +61,7 @@
     from: f64,
     within: Span,
     window: Span,
-    /// What all dispatchers together may ask of it, over its capacity; and how many they are.
-    most: f64,
-    dispatchers: f64,
+    share: f64,
 }
 
 impl Ramp {
@@ -111,6 +111,7 @@
     measures: [Option<f64>; 2],
     beaten: [u32; 2],
     in_hand: f64,
+    others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
     /// How many hand-offs may be out past the parents or past the caches at once.
     window: f64,
     spent: Vec<(Time, PullId, Leg, f64)>,
@@ -121,8 +122,8 @@
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, Vec::new());
-        let (window, measures, beaten, heard) = (WINDOW, [None; 2], [0; 2], now);
-        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, window, spent }
+        let (window, measures, beaten, heard, others) = (WINDOW, [None; 2], [0; 2], now, None);
+        Host { line, hash, reputation, next_trial, heard, measures, beaten, in_hand, others, window, spent }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -150,8 +151,8 @@
     source: HostId,
     sent: Time,
     overdue: Time,
-    noted: bool,
-    silent: bool,
+    /// Once it is overdue: whether its host or source has answered nothing since.
+    silent: Option<bool>,
     trial: bool,
 }
 
@@ -178,12 +179,10 @@
     kinds: Vec<Kind>,
     zone: ZoneId,
     zone_mates: f64,
-    number: u64,
     /// The location's link by the last report, and when that came.
-    link: (f64, Time),
-    link_place: Option<usize>,
-    cache_ramp: Ramp,
-    parent_ramp: Ramp,
+    link: Option<(f64, Time)>,
+    /// Of caches and of parents.
+    ramps: [Ramp; 2],
     early: Span,
     settles: Span,
     come_back: Option<Span>,
@@ -212,18 +211,22 @@
     x ^ (x >> 31)
 }
 
+/// What the shared hash draws for an object at a host, over 0 to 1; the higher, the more it belongs there.
+fn draw(host: &Host, object: ObjectId) -> f64 {
+    ((mix(mix(object.0) ^ host.hash) >> 11) as f64 + 1.0) / (1u64 << 53) as f64
+}
+
 impl Brain {
     /// A new instance; the seed is its only source of chance.
     pub fn start(now: Time, seed: u64, terms: Terms) -> (Brain, Decisions) {
-        let mates = terms.zone_dispatchers.get(terms.zone.0).copied().unwrap_or(1).max(1) as f64;
-        let all = terms.dispatchers.max(1) as f64;
+        let mates = terms.zone_dispatchers.get(terms.zone.0).map_or(1.0, |count| f64::from(*count).max(1.0));
         let ramp = |from, within, factor: f64, dispatchers: f64| {
-            let most = (factor * COLD_USE).min(COLD_MOST);
-            Ramp { from, within, window: terms.fall_window, most, dispatchers }
+            let share = (factor * COLD_USE).min(COLD_MOST) / dispatchers.max(1.0);
+            Ramp { from, within, window: terms.fall_window, share }
         };
-        let cache_ramp = ramp(terms.cold_from, terms.warm_within, terms.overload_factor, mates);
-        let factor = terms.parent_overload_factor;
-        let parent_ramp = ramp(terms.parent_cold_from, terms.parent_warm_within, factor, all);
+        let (all, factor) = (f64::from(terms.dispatchers), terms.parent_overload_factor);
+        let caches = ramp(terms.cold_from, terms.warm_within, terms.overload_factor, mates);
+        let ramps = [caches, ramp(terms.parent_cold_from, terms.parent_warm_within, factor, all)];
         let mut brain = Brain {
             now,
             born: now,
@@ -231,11 +234,8 @@
             kinds: terms.workloads.into_iter().map(Kind::new).collect(),
             zone: terms.zone,
             zone_mates: mates,
-            number: u64::from(terms.number),
-            link: (0.0, now),
-            link_place: terms.load_link,
-            cache_ramp,
-            parent_ramp,
+            link: None,
+            ramps,
             early: terms.tick * TICKS_EARLY,
             settles: terms.purge_settles,
             come_back: terms.may_name_return.then(|| COME_BACK.min(terms.longest_return)),
@@ -262,10 +262,8 @@
 
     /// Lines of the list of hosts; with the whole list, what it leaves out is gone.
     pub fn list(&mut self, now: Time, coverage: Coverage, lines: Vec<Listed>) -> Decisions {
-        let named: BTreeSet<&HostId> = lines.iter().map(|line| &line.host).collect();
-        let left_out = |id: &HostId| coverage == Coverage::Whole && !named.contains(id);
-        for (_, host) in self.hosts.iter_mut().filter(|(id, _)| left_out(id)) {
-            host.line.standing = Standing::Gone;
+        for host in self.hosts.values_mut().filter(|_| coverage == Coverage::Whole) {
+            host.line.standing = Standing::Gone; // unless a line says otherwise
         }
         for line in lines {
             let known = self.hosts.entry(line.host.clone()).or_insert_with(|| Host::new(line.clone(), now));
@@ -274,7 +272,7 @@
             }
             known.line = line;
             // Guards against a restarted dispatcher giving a cold host its share a second time.
-            if now.since(self.born) < self.cache_ramp.window && known.spent.is_empty() {
+            if now.since(self.born) < self.ramps[0].window && known.spent.is_empty() {
                 known.spent.push((self.born, PullId(u64::MAX), Leg(0), f64::INFINITY));
             }
         }
@@ -358,14 +356,14 @@
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended) {
         let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
-        let link = self.link_place.and_then(|place| ended.load.get(place));
-        if let (Some(link), Some(true)) = (link, self.hosts.get(&out.host).map(|host| host.is(Role::Cache))) {
-            self.link = (*link, self.now);
-        }
+        let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
+        self.link = ended.link.filter(|_| cached).map(|link| (link, self.now)).or(self.link);
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
             host.leave();
-            // Whatever a host answers, a failed fill too, shows that it is not silent.
+            let others = |pulls: f64| ((pulls - host.in_hand - 1.0).max(0.0), self.now);
+            host.others = ended.in_hand.filter(|_| id == &out.host).map(others).or(host.others);
+            // Any answer, a failed fill too, shows that a host is not silent.
             host.heard = if id == &out.host && alive { self.now } else { host.heard };
             if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
                 host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
@@ -442,7 +440,7 @@
         }
         let next = self.due.first().map_or(self.next_tidy, |(at, _)| self.next_tidy.min(*at));
         if self.wake_at.is_none_or(|at| at <= now || next < at) {
-            self.out.wake = Some(*self.wake_at.insert(next));
+            (self.out.wake, self.wake_at) = (Some(next), Some(next));
         }
         std::mem::take(&mut self.out)
     }
@@ -528,57 +526,48 @@
     fn note_what_is_overdue(&mut self, id: PullId) -> bool {
         let now = self.now;
         let Some(held) = self.pulls.get_mut(&id) else { return false };
-        let fresh = |out: &&mut Out| !out.noted && out.overdue <= now;
+        let fresh = |out: &&mut Out| out.silent.is_none() && out.overdue <= now;
         let Some(out) = held.out.iter_mut().find(fresh) else { return false };
-        out.noted = true;
         self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.widen(false));
         let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard <= out.sent);
         let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
-        if let Some(culprit) = culprit {
-            out.silent = true;
-            held.tried.push(culprit.clone());
-            self.blame(&culprit);
-        }
+        out.silent = Some(culprit.is_some());
+        held.tried.extend(culprit.clone());
+        culprit.iter().for_each(|culprit| self.blame(culprit));
         true
     }
 
     fn hand_off_beside_the_silent(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get(&id) else { return false };
         let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
-        let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent);
+        let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent == Some(true));
         let allowed = self.duplicates && reissuable && silent && self.may_follow(held);
         allowed && held.pull.hard_stop.since(self.now).ms() > held.work + SLACK.ms() && self.hand_off(id)
     }
 
     fn ramp(&self, host: &Host) -> &Ramp {
-        if host.is(Role::Cache) { &self.cache_ramp } else { &self.parent_ramp }
+        &self.ramps[usize::from(!host.is(Role::Cache))]
     }
 
     // Guards against a cold host being pushed over by all dispatchers together: each keeps to its share of
-    // what the worst ramp bears within any window. A hand-off without a fill weighs the mean as well. Guards
-    // too against shares below one pull, by which nobody would warm a parent: then those whose turn it is by
-    // their numbers have a mean pull each, and the more it bears, the more they are.
+    // what the worst ramp bears within any window. A hand-off without a fill weighs the mean as well.
     fn cold_room(&self, host: &Host, cost: f64) -> bool {
         let ramp = self.ramp(host);
         let since = self.now - ramp.window;
         let part = ramp.part(host.line.started, since);
-        if part >= 1.0 || host.is(Role::Origin) {
-            return true;
-        }
         let spent = host.spent.iter().filter(|(at, ..)| *at > since).map(|(.., cost)| cost).sum::<f64>();
-        let bears = ramp.most * part * host.line.weight * ramp.window.ms();
-        let mean = self.kinds.iter().map(|kind| kind.mean_work).fold(1.0, f64::max);
-        let all = if host.is(Role::Cache) { 0.0 } else { ramp.dispatchers };
-        let turns = (bears / mean).floor();
-        let turn = host.hash.wrapping_add(self.number) % (ramp.dispatchers as u64);
-        let share = if turns >= all { bears / ramp.dispatchers } else { mean };
-        (turns >= all || (turn as f64) < turns) && spent + cost <= share
+        let bears = ramp.share * part * host.line.weight * ramp.window.ms();
+        part >= 1.0 || host.is(Role::Origin) || spent + cost <= bears
     }
 
-    /// Pulls in hand over the places at full pace, as far as this dispatcher can know.
+    // Pulls in hand over the places at full pace. Guards against many dispatchers each taking one pull of its
+    // own for one of every other's: the more they are, the more the host's last report counts.
     fn load(&self, host: &Host) -> f64 {
         let part = self.ramp(host).part(host.line.started, self.now);
-        (host.in_hand * self.zone_mates + 1.0) / (host.line.weight * part).max(0.1)
+        let (mates, told) = (self.zone_mates - 1.0, host.others.filter(|(_, at)| self.now.since(*at) < OLD));
+        let guess = host.in_hand * mates;
+        let others = told.map_or(guess, |(told, _)| (guess * DOUBT + told * mates) / (DOUBT + mates));
+        (host.in_hand + others + 1.0) / (host.line.weight * part).max(0.1)
     }
 
     fn origin(&self) -> Option<&Host> {
@@ -592,22 +581,17 @@
     // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
     // full only hits are asked for, and known misses wait for room, the small ones first.
     fn link_open(&self, held: &Held, mean: f64) -> bool {
-        let (full, at) = self.link;
         let late = held.promised.since(self.now).ms() < held.work;
         let small = if late { 0.0 } else { mean / held.work.max(1.0) };
         let bias = small.clamp(1.0 / LINK_BIAS, LINK_BIAS);
-        let known = self.link_place.is_some() && self.now.since(at) < LINK_OLD;
-        !known || full < LINK_FULL * bias
+        self.link.is_none_or(|(full, at)| full < LINK_FULL * bias || self.now.since(at) >= OLD)
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
     fn in_hash_order(&self, role: Role, object: ObjectId) -> Vec<&Host> {
         let near = |host: &Host| role != Role::Cache || self.mine(host);
         let mine = |h: &&Host| h.is(role) && near(h) && h.line.standing == Standing::InService;
-        let score = |host: &Host| {
-            let draw = (mix(mix(object.0) ^ host.hash) >> 11) as f64 + 1.0;
-            -(draw / (1u64 << 53) as f64).ln() / host.line.weight.max(0.01)
-        };
+        let score = |host: &Host| -draw(host, object).ln() / host.line.weight.max(0.01);
         let mut order: Vec<&Host> = self.hosts.values().filter(mine).collect();
         order.sort_by(|a, b| score(a).total_cmp(&score(b)));
         order
@@ -636,10 +620,13 @@
         // On a full link only the cache that may hold it helps, so the hash is kept to for longer.
         let most = if open { least.min(ADMIT) } else { ADMIT };
         let left = held.promised.since(self.now).ms();
-        let full = if held.work < left { FULL } else { LATE_FULL };
+        // Guards against a loaded cache losing all its objects at once, and with them its hits: they go one
+        // after another by what the hash draws, the same ones at every dispatcher.
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            load <= full || (load <= most && load * held.work < left)
+            let stays = STAYS[0] + (STAYS[1] - STAYS[0]) * draw(host, held.pull.object);
+            load <= (if held.work < left { FULL * stays } else { LATE_FULL })
+                || (load <= most && load * held.work < left)
         };
         order.iter().find(in_time).map(|host| host.line.host.clone())
     }
@@ -673,21 +660,21 @@
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.goes_through, held.work);
         let open = through || self.link_open(held, kind.mean_work);
-        if held.missed && !open {
-            return false;
-        }
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
-        let idle = self.link_place.is_some() && self.link.0 < LINK_IDLE && work < kind.mean_work;
+        let idle = self.link.is_some_and(|(full, _)| full < LINK_IDLE) && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
         let straight = self.direct && (through || lost || (open && idle));
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
         let origin = self.origin();
         let up = origin.filter(|origin| origin.usable()).map(|origin| &origin.line.host);
-        let fits = |h: &Host| through || (h.in_hand < h.window && self.in_scope(held, h));
+        // Guards against slow sources whose fills take up the caches: what is out there keeps to a window.
+        let bears = |id: &HostId| through || self.hosts.get(id).is_some_and(|h| h.in_hand < h.window);
+        let fits = |id: &HostId| through || (bears(id) && self.in_scope(held, &self.hosts[id]));
         let (host, source) = match (cache, self.pick_source(held)) {
-            (Some(cache), Some(source)) if open => (cache, source),
+            (Some(cache), Some(source)) if open && bears(&source) => (cache, source),
+            (Some(_), _) if held.missed => return false,
             (Some(cache), _) => (cache.clone(), cache),
-            (None, Some(to)) if straight && fits(&self.hosts[&to]) => (to.clone(), up.cloned().unwrap_or(to)),
+            (None, Some(to)) if straight && fits(&to) => (to.clone(), up.cloned().unwrap_or(to)),
             _ => return false,
         };
         let behind = &self.hosts[&source];
@@ -719,14 +706,14 @@
             host.in_hand += 1.0;
             host.next_trial = if through { host.next_trial } else { now + TRIAL };
             host.spent.push((now, id, leg, cost));
-            host.spent.retain(|(at, ..)| now.since(*at) <= self.cache_ramp.window);
+            host.spent.retain(|(at, ..)| now.since(*at) <= self.ramps[0].window);
         }
         self.due.insert((now + patience, id));
         let held = self.pulls.get_mut(&id).expect("just seen");
         self.seen.insert(held.pull.object, now);
         held.legs += 1;
-        let (sent, overdue, noted, silent) = (now, now + patience, false, false);
-        held.out.push(Out { leg, host, source, sent, overdue, noted, silent, trial });
+        let (sent, overdue, silent) = (now, now + patience, None);
+        held.out.push(Out { leg, host, source, sent, overdue, silent, trial });
         true
     }
 
--- a/src/words.rs
+++ b/src/words.rs
@@ -131,8 +131,6 @@
     /// Dispatchers in each zone, and in all.
     pub zone_dispatchers: Vec<u32>,
     pub dispatchers: u32,
-    /// This dispatcher's number among all, from 0.
-    pub number: u32,
     pub tick: Span,
     pub may_cancel: bool,
     pub may_duplicate: bool,
@@ -150,8 +148,6 @@
     pub joins: bool,
     pub client_kb_per_s: f64,
     pub purge_settles: Span,
-    /// Where in [`Ended::load`] the fullness of the location's link stands.
-    pub load_link: Option<usize>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -254,7 +250,10 @@
     pub told: Told,
     /// The fill's wait for the source's first byte, or until it failed.
     pub waited: Option<Span>,
-    pub load: Vec<f64>,
+    /// Reported by a cache: transfers on its location's link over those that fit at full pace.
+    pub link: Option<f64>,
+    /// Reported by the host: pulls that it holds.
+    pub in_hand: Option<f64>,
 }
 
 /// Take a hand-off back.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -10,6 +10,8 @@
     pub cancels: Vec<Cancel>,
     pub sent: Vec<(Leg, HandOff)>,
     pub again: bool,
+    /// The pulls that host "a" reports; the others report none.
+    pub at_a: f64,
     next: u64,
 }
 
@@ -41,7 +43,6 @@
         zone: ZoneId(0),
         zone_dispatchers: vec![1, 0],
         dispatchers: 2,
-        number: 0,
         tick: Span::from_ms(2),
         may_cancel: true,
         may_duplicate: true,
@@ -59,7 +60,6 @@
         joins: true,
         client_kb_per_s: 1000.0,
         purge_settles: Span::from_ms(6000),
-        load_link: Some(0),
     }
 }
 
@@ -74,7 +74,7 @@
         let now = Time::at_ms(100_000.0);
         let (brain, _) = Brain::start(now, 7, terms);
         let (finals, cancels, sent) = (Vec::new(), Vec::new(), Vec::new());
-        let mut fake = Fake { brain, now, finals, cancels, sent, again: false, next: 0 };
+        let mut fake = Fake { brain, now, finals, cancels, sent, again: false, at_a: 0.0, next: 0 };
         fake.list(hosts);
         fake
     }
@@ -119,14 +119,16 @@
     }
 
     pub fn end(&mut self, at: usize, ending: Ending, told: Told, waited: u64) {
-        self.end_with(at, ending, told, waited, Vec::new());
+        self.end_with(at, ending, told, waited, None);
     }
 
-    pub fn end_with(&mut self, at: usize, ending: Ending, told: Told, waited: u64, load: Vec<f64>) {
+    pub fn end_with(&mut self, at: usize, ending: Ending, told: Told, waited: u64, link: Option<f64>) {
         let (leg, sent) = self.sent[at].clone();
         let waited = Some(Span::from_ms(waited));
         let (took, closed) = (Span::from_ms(1100), ending == Ending::Answered);
-        let ended = Ended { pull: sent.pull, leg, host: sent.host, ending, took, closed, told, waited, load };
+        let in_hand = Some(if sent.host == host("a") { self.at_a } else { 0.0 });
+        let (pull, host) = (sent.pull, sent.host);
+        let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand };
         let decisions = self.brain.hand_off_ended(self.now, ended);
         self.apply(decisions);
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -209,14 +209,14 @@
 fn while_the_link_is_full_only_hits_are_asked_for_and_misses_wait() {
     let mut fake = Fake::new(terms(), usual());
     let at = fake.pull(0, 1);
-    fake.end_with(at, Ending::Answered, Told::Held, 0, vec![20.0]);
+    fake.end_with(at, Ending::Answered, Told::Held, 0, Some(20.0));
     let at = fake.pull(0, 2);
     assert_eq!(fake.sent[at].1.source, fake.sent[at].1.host, "no fill");
-    fake.end_with(at, Ending::NoCopy, Told::Nothing, 0, vec![20.0]);
+    fake.end_with(at, Ending::NoCopy, Told::Nothing, 0, Some(20.0));
     fake.pass(300);
     assert_eq!(fake.sent.len(), at + 1, "the known miss waits");
     let hit = fake.pull(0, 3);
-    fake.end_with(hit, Ending::Answered, Told::Held, 0, vec![0.5]);
+    fake.end_with(hit, Ending::Answered, Told::Held, 0, Some(0.5));
     fake.pass(300);
     assert!(is_parent(&fake.sent.last().unwrap().1.source), "there is room again");
 }
@@ -269,7 +269,7 @@
     let before = fake.sent.len();
     for object in 0..400 {
         let at = fake.pull_of(0, object, 10.0);
-        fake.end_with(at, Ending::Answered, Told::Held, 0, vec![20.0]);
+        fake.end_with(at, Ending::Answered, Told::Held, 0, Some(20.0));
     }
     let at_cache = fake.sent[before..].iter().filter(|(_, sent)| sent.host == host("a")).count();
     assert!((10..60).contains(&at_cache), "{at_cache} to the cold cache");
@@ -287,3 +287,35 @@
     fake.pass(2000);
     assert!(fake.finals.len() > 100, "the rest is told in time");
 }
+
+#[test]
+fn from_a_loaded_cache_the_same_part_of_the_objects_moves_at_every_dispatcher() {
+    let many = Terms { zone_dispatchers: vec![17, 0], ..terms() };
+    let hosts = |at_a| {
+        let mut fake = Fake::new(many.clone(), usual());
+        fake.at_a = at_a;
+        let mut host_of = |object| {
+            fake.fill(object, 100.0, Told::Held, |_| 0);
+            fake.sent.last().unwrap().1.host.clone()
+        };
+        (0..10).for_each(|object| _ = host_of(object));
+        (0..60).map(host_of).collect::<Vec<_>>()
+    };
+    let (idle, quiet, loaded) = (hosts(0.0), hosts(3.0), hosts(14.0));
+    let moved = idle.iter().zip(&loaded).filter(|(idle, loaded)| idle != loaded).count();
+    assert_eq!(idle, quiet);
+    assert!((5..55).contains(&moved), "{moved} of 60 moved");
+    assert_eq!(loaded, hosts(14.0), "the hash tells which");
+}
+
+#[test]
+fn fills_at_a_parent_keep_to_a_window_and_past_it_only_hits_are_asked_for() {
+    let wide = |line: Listed| Listed { weight: 500.0, ..line };
+    let mut fake = Fake::new(terms(), usual().into_iter().map(wide).collect());
+    for object in 0..200 {
+        fake.pull(0, object);
+    }
+    let fills = fake.sent.iter().filter(|(_, sent)| is_parent(&sent.source)).count();
+    assert!((20..100).contains(&fills), "{fills} of 200 may be filled");
+    assert!(fake.sent.iter().any(|(_, sent)| sent.source == sent.host), "hits are asked for on");
+}
