--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,7 +22,7 @@
 const TRIAL: Span = Span::from_ms(5000); // between trials of a source out of use: the page's start
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
-const STAYS: [f64; 2] = [0.4, 1.5]; // times FULL at which objects move, by their draw: not all at once
+const STAYS: [f64; 2] = [0.6, 1.3]; // times FULL at which objects move, by their draw: not all at once
 const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 3.0; // transfers on the location's link over those that fit; a fill outruns an answer
@@ -649,7 +649,10 @@
             let out = first.filter(|host| !set(&host) && trial(&host));
             let clear = origin.filter(|host| host.usable() && host.in_hand < host.window && new(host));
             let usual = parents.iter().find(set).copied().or(clear).or(first);
-            out.or(origin.filter(|host| trial(&host))).or(usual)
+            let failed = clear.filter(|_| {
+                held.tried.iter().any(|id| self.hosts.get(id).is_some_and(|h| h.is(Role::Parent)))
+            });
+            out.or(origin.filter(|host| trial(&host))).or(failed).or(usual)
         };
         chosen.map(|host| host.line.host.clone())
     }
