--- a/src/brain.rs
+++ b/src/brain.rs
@@ -340,7 +340,7 @@
             held.tried.push(out.host.clone());
         }
         let past = self.hosts.get(&out.host).is_some_and(|host| !host.is(Role::Cache));
-        if lacking || past || (ended.ending == Ending::TurnedAway && failed) {
+        if lacking || past || matches!(ended.told, SourceRefused | OriginFailed) {
             held.pauses += 1;
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
@@ -392,7 +392,13 @@
             (Errored | NotConnected | Broken, _) => Some(out.host.clone()),
             _ => None,
         };
-        culprit.into_iter().for_each(|id| self.blame(&id));
+        // Guards against every dispatcher losing several pulls to each dead host: who can't be reached at all is
+        // out at once.
+        let dead = ended.ending == NotConnected
+            || (ended.ending == TurnedAway && ended.told == Told::SourceUnreached);
+        for id in culprit.iter().chain(culprit.iter().filter(|_| dead)) {
+            self.blame(id);
+        }
     }
 
     fn blame(&mut self, id: &HostId) {
