--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,6 +34,7 @@
 const DOUBT: f64 = 8.0; // others from which on a report counts more than the own guess
 const WINDOW: f64 = 24.0; // hand-offs out past the parents or the caches at first: most end as hits
 const NARROWED: f64 = 0.8; // left of that after a slow or failed one
+const EARLY_SIGN: f64 = 0.5; // of what counts as overdue, from which a fill by the origin narrows its window
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
@@ -380,7 +381,10 @@
         if ended.ending == Answered {
             let source = Some(&out.source).filter(|_| filled && behind);
             for id in [&out.host].into_iter().chain(source) {
-                self.hosts.get_mut(id).into_iter().for_each(|host| host.praise(now, now < out.overdue));
+                let Some(host) = self.hosts.get_mut(id) else { continue };
+                let share = if host.is(Role::Origin) { EARLY_SIGN } else { 1.0 };
+                let soon = out.overdue.since(out.sent) * share;
+                host.praise(now, now < out.sent + soon);
             }
             source.into_iter().for_each(|_| self.measure(out, ended, large));
         }
