--- a/src/brain.rs
+++ b/src/brain.rs
@@ -34,7 +34,7 @@
 const DOUBT: f64 = 8.0; // others from which on a report counts more than the own guess
 const WINDOW: f64 = 24.0; // hand-offs out past the parents or the caches at first: most end as hits
 const NARROWED: f64 = 0.8; // left of that after a slow or failed one
-const EARLY_SIGN: f64 = 0.5; // of what counts as overdue, from which a fill by the origin narrows its window
+const SLOW: [f64; 2] = [0.85, 0.5]; // of overdue, past which a fill narrows a window; second, the origin's
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
@@ -340,8 +340,8 @@
         } else if !lacking {
             held.tried.push(out.host.clone());
         }
-        let past = self.hosts.get(&out.host).is_some_and(|host| !host.is(Role::Cache));
-        if lacking || past || matches!(ended.told, SourceRefused | OriginFailed) {
+        let cached = self.hosts.get(&out.host).is_none_or(|host| host.is(Role::Cache));
+        if lacking || !cached || matches!(ended.told, SourceRefused | OriginFailed) {
             held.pauses += 1;
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
@@ -349,15 +349,14 @@
         let kind = &self.kinds[held.pull.workload.0];
         let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
         self.agenda.insert(ended.pull);
-        self.release(&out, &ended);
-        self.rate(&out, &ended, large);
+        self.release(&out, &ended, cached);
+        self.rate(&out, &ended, large, cached);
         self.settle(now)
     }
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
-    fn release(&mut self, out: &Out, ended: &Ended) {
+    fn release(&mut self, out: &Out, ended: &Ended, cached: bool) {
         let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
-        let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
         self.link = ended.link.filter(|_| cached).map(|link| (link, self.now)).or(self.link);
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
@@ -374,17 +373,15 @@
     }
 
     // The measures of the paper's tables: latency and bandwidth of each source, reputation of all.
-    fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>) {
+    fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>, cached: bool) {
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
-        let cached = self.hosts.get(&out.host).is_some_and(|host| host.is(Role::Cache));
         let (now, behind) = (self.now, cached && out.source != out.host);
         if ended.ending == Answered {
             let source = Some(&out.source).filter(|_| filled && behind);
             for id in [&out.host].into_iter().chain(source) {
                 let Some(host) = self.hosts.get_mut(id) else { continue };
-                let share = if host.is(Role::Origin) { EARLY_SIGN } else { 1.0 };
-                let soon = out.overdue.since(out.sent) * share;
-                host.praise(now, now < out.sent + soon);
+                let slow = out.overdue.since(out.sent) * SLOW[usize::from(host.is(Role::Origin))];
+                host.praise(now, now < out.sent + slow);
             }
             source.into_iter().for_each(|_| self.measure(out, ended, large));
         }
@@ -396,20 +393,17 @@
             (Errored | NotConnected | Broken, _) => Some(out.host.clone()),
             _ => None,
         };
-        // Guards against every dispatcher losing several pulls to each dead host: who can't be reached at all is
-        // out at once.
-        let dead = ended.ending == NotConnected
-            || (ended.ending == TurnedAway && ended.told == Told::SourceUnreached);
-        for id in culprit.iter().chain(culprit.iter().filter(|_| dead)) {
-            self.blame(id);
-        }
+        // Guards against all dispatchers losing pulls to each dead host: who can't be reached is out at once.
+        let dead =
+            matches!((ended.ending, ended.told), (NotConnected, _) | (TurnedAway, Told::SourceUnreached));
+        culprit.into_iter().for_each(|id| self.blame(&id, if dead { 1.0 } else { PENALTY }));
     }
 
-    fn blame(&mut self, id: &HostId) {
+    fn blame(&mut self, id: &HostId, penalty: f64) {
         let next_trial = self.now + TRIAL * self.chance.random_range(0.9..1.1);
         if let Some(host) = self.hosts.get_mut(id) {
             // Guards against a source that stays out long after its trouble: one good trial is enough.
-            host.reputation = (host.reputation * (1.0 - PENALTY)).max((FLOOR - STEP) / (1.0 - STEP));
+            host.reputation = (host.reputation * (1.0 - penalty)).max((FLOOR - STEP) / (1.0 - STEP));
             host.widen(false);
             host.next_trial = next_trial;
         }
@@ -425,9 +419,8 @@
             let Some(sample) = sample else { continue };
             let own = source.measures[at].map_or(sample, |old| old + NEW_WEIGHT * (sample - old));
             source.measures[at] = Some(own);
-            let clearly =
-                |best| if at == 0 { best < own * (1.0 - MARGIN) } else { best > own * (1.0 + MARGIN) };
-            let beaten = best[at].is_some_and(clearly);
+            let wins = |best| if at == 0 { best < own * (1.0 - MARGIN) } else { best > own * (1.0 + MARGIN) };
+            let beaten = best[at].is_some_and(wins);
             source.beaten[at] = if beaten { (source.beaten[at] + 1).min(SEVERAL) } else { 0 };
         }
     }
@@ -479,8 +472,8 @@
 
     // Guards against a lost pull: whatever else goes on, the client gets its answer while it listens.
     fn answer_before_the_hard_stop(&mut self, id: PullId) -> bool {
-        let late = |held: &Held| self.now + self.early >= held.pull.hard_stop;
-        self.pulls.get(&id).is_some_and(late) && self.give_up(id)
+        self.pulls.get(&id).is_some_and(|held| self.now + self.early >= held.pull.hard_stop)
+            && self.give_up(id)
     }
 
     fn give_up_when_nothing_may_follow(&mut self, id: PullId) -> bool {
@@ -505,8 +498,7 @@
 
     // Guards against an effect that happens twice.
     fn may_follow(&self, held: &Held) -> bool {
-        let open = held.out.first().map(|out| out.sent);
-        let ran = held.ran.as_ref().map(|(sent, _)| *sent).or(open);
+        let ran = held.ran.as_ref().map(|(sent, _)| *sent).or(held.out.first().map(|out| out.sent));
         let allowed = match (self.kinds[held.pull.workload.0].repeats, ran) {
             (Repeats::Reissuable, _) | (_, None) => true,
             (Repeats::AtMostOnce, Some(_)) => false,
@@ -534,16 +526,15 @@
     // Guards against hosts that take pulls and answer none: one that has answered nothing since the overdue
     // hand-off went out is blamed; a slow but living one has answered others meanwhile.
     fn note_what_is_overdue(&mut self, id: PullId) -> bool {
-        let now = self.now;
         let Some(held) = self.pulls.get_mut(&id) else { return false };
-        let fresh = |out: &&mut Out| out.silent.is_none() && out.overdue <= now;
+        let fresh = |out: &&mut Out| out.silent.is_none() && out.overdue <= self.now;
         let Some(out) = held.out.iter_mut().find(fresh) else { return false };
         self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.widen(false));
         let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard <= out.sent);
         let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
         out.silent = Some(culprit.is_some());
         held.tried.extend(culprit.clone());
-        culprit.iter().for_each(|culprit| self.blame(culprit));
+        culprit.iter().for_each(|culprit| self.blame(culprit, PENALTY));
         true
     }
 
@@ -592,8 +583,7 @@
     // full only hits are asked for, and known misses wait for room, the small ones first.
     fn link_open(&self, held: &Held, mean: f64) -> bool {
         let late = held.promised.since(self.now).ms() < held.work;
-        let small = if late { 0.0 } else { mean / held.work.max(1.0) };
-        let bias = small.clamp(1.0 / LINK_BIAS, LINK_BIAS);
+        let bias = if late { 0.0 } else { mean / held.work.max(1.0) }.clamp(1.0 / LINK_BIAS, LINK_BIAS);
         self.link.is_none_or(|(full, at)| full < LINK_FULL * bias || self.now.since(at) >= OLD)
     }
 
@@ -659,10 +649,9 @@
             let out = first.filter(|host| !set(&host) && trial(&host));
             let clear = origin.filter(|host| host.usable() && host.in_hand < host.window && new(host));
             let usual = parents.iter().find(set).copied().or(clear).or(first);
-            let failed = clear.filter(|_| {
-                held.tried.iter().any(|id| self.hosts.get(id).is_some_and(|h| h.is(Role::Parent)))
-            });
-            out.or(origin.filter(|host| trial(&host))).or(failed).or(usual)
+            // Guards against a few parents left with the fills of all: they refuse, the next would too.
+            let failed = held.tried.iter().filter_map(|id| self.hosts.get(id)).any(|h| h.is(Role::Parent));
+            out.or(origin.filter(|host| trial(&host))).or(clear.filter(|_| failed)).or(usual)
         };
         chosen.map(|host| host.line.host.clone())
     }
@@ -692,8 +681,7 @@
         };
         let behind = &self.hosts[&source];
         let (past, trial) = (!self.hosts[&host].is(Role::Cache), behind.next_trial <= now);
-        // Guards against a stopped origin being asked on by every parent, and against fills that hold their
-        // places until they time out behind it.
+        // Guards against a stopped origin being asked on by every parent, by fills that hold their places.
         let stopped = origin.is_some_and(|origin| !origin.usable() && origin.next_trial > now);
         let only_held = stopped && behind.is(Role::Parent) && !through;
         let oldest = self.oldest(&held.pull, kind.fresh);
@@ -725,17 +713,16 @@
         let held = self.pulls.get_mut(&id).expect("just seen");
         self.seen.insert(held.pull.object, now);
         held.legs += 1;
-        let (sent, overdue, silent) = (now, now + patience, None);
-        held.out.push(Out { leg, host, source, sent, overdue, silent, trial });
+        held.out.push(Out { leg, host, source, sent: now, overdue: now + patience, silent: None, trial });
         true
     }
 
     // Guards against purged copies, wherever they lie: no copy from before the youngest purge will do.
     fn oldest(&self, pull: &Pull, fresh: Option<Span>) -> Option<Span> {
-        let hit = |(object, group, _): &&(Option<ObjectId>, GroupId, Time)| {
-            object.map_or(*group == pull.group, |object| object == pull.object)
-        };
-        let made = self.purges.iter().filter(hit).map(|(.., made)| *made).max()?;
+        let hit =
+            |object: Option<ObjectId>, group| object.map_or(group == pull.group, |it| it == pull.object);
+        let hits = self.purges.iter().filter(|(object, group, _)| hit(*object, *group));
+        let made = hits.map(|(.., made)| *made).max()?;
         let age = self.now.since(made).less(HAIR).max(HAIR);
         fresh.is_none_or(|fresh| age < fresh).then_some(age)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -319,3 +319,34 @@
     assert!((20..100).contains(&fills), "{fills} of 200 may be filled");
     assert!(fake.sent.iter().any(|(_, sent)| sent.source == sent.host), "hits are asked for on");
 }
+
+#[test]
+fn a_parent_that_cannot_be_reached_is_out_at_once_and_its_pull_goes_on_to_the_origin() {
+    let mut fake = Fake::new(terms(), usual());
+    let at = fake.pull(0, 1);
+    let dead = fake.sent[at].1.source.clone();
+    fake.end(at, Ending::TurnedAway, Told::SourceUnreached, 400);
+    assert_eq!(fake.sent[at + 1].1.source, host("o"), "at once, without a pause");
+    fake.end(at + 1, Ending::Answered, Told::Filled, 20);
+    let used = (2..40).filter(|object| fake.fill(*object, 100.0, Told::Filled, |_| 20) == dead).count();
+    assert_eq!(used, 0, "one failure is enough");
+}
+
+#[test]
+fn slow_fills_narrow_the_origins_window_before_they_are_overdue() {
+    let only_origin = usual().into_iter().filter(|line| line.role != Role::Parent).collect::<Vec<_>>();
+    let sent_at_once = |slow: u64| {
+        let mut fake = Fake::new(terms(), only_origin.clone());
+        for object in 0..30 {
+            let at = fake.pull(0, object);
+            fake.pass(slow);
+            fake.end(at, Ending::Answered, Told::Filled, 20);
+        }
+        let before = fake.sent.len();
+        (100..130).for_each(|object| _ = fake.pull(0, object));
+        fake.sent[before..].iter().filter(|(_, sent)| sent.source == host("o")).count()
+    };
+    // A pull of 100 ms at an idle cache, with 20 ms to the first byte, is overdue after 390 ms.
+    let (quick, slow) = (sent_at_once(100), sent_at_once(300));
+    assert!(slow < 4 && quick > 12, "{quick} quick and {slow} slow fills at the origin");
+}
