--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,6 +23,7 @@
 // Load.
 const FULL: f64 = 2.0; // pulls in hand per full-pace place at which the hash moves down: some wait for fills
 const STAYS: [f64; 2] = [0.6, 1.3]; // times FULL at which objects move, by their draw: not all at once
+const BOUND: f64 = 1.5; // times the least load up to which the hash is kept to where all are over that
 const LATE_FULL: f64 = 1.0; // the same for a pull that can't come in time: what the others leave
 const ADMIT: f64 = 4.0; // the same at which no more is handed off: beyond, queues overflow
 const LINK_FULL: f64 = 3.0; // transfers on the location's link over those that fit; a fill outruns an answer
@@ -609,16 +610,14 @@
     fn pick_cache(&self, held: &Held, open: bool) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
         let trials = kind.repeats == Repeats::Reissuable && held.legs == 0;
-        let allowed = |host: &&Host| {
-            let up = host.reputation >= FLOOR || (trials && host.next_trial <= self.now);
-            let new = !held.tried.contains(&host.line.host);
-            up && new && self.in_scope(held, host) && self.cold_room(host, kind.cost(held.work))
-        };
+        let fits = |host: &Host| self.in_scope(held, host) && self.cold_room(host, kind.cost(held.work));
+        let up = |host: &Host| host.reputation >= FLOOR || (trials && host.next_trial <= self.now);
         let mut order = self.in_hash_order(Role::Cache, held.pull.object);
-        order.retain(allowed);
+        order.retain(|host| up(host) && !held.tried.contains(&host.line.host) && fits(host));
         let least = order.iter().map(|host| self.load(host)).min_by(f64::total_cmp)?;
-        // On a full link only the cache that may hold it helps, so the hash is kept to for longer.
-        let most = if open { least.min(ADMIT) } else { ADMIT };
+        // Guards against the hash being lost where all caches are loaded alike: then no object moves. On a full
+        // link only the cache that may hold it helps, so the hash is kept to for longer.
+        let most = if open { (least * BOUND).min(ADMIT) } else { ADMIT };
         let left = held.promised.since(self.now).ms();
         // Guards against a loaded cache losing all its objects at once, and with them its hits: they go one
         // after another by what the hash draws, the same ones at every dispatcher.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -10,8 +10,9 @@
     pub cancels: Vec<Cancel>,
     pub sent: Vec<(Leg, HandOff)>,
     pub again: bool,
-    /// The pulls that host "a" reports; the others report none.
+    /// The pulls that host "a" reports, and those that every other does.
     pub at_a: f64,
+    pub elsewhere: f64,
     next: u64,
 }
 
@@ -74,7 +75,8 @@
         let now = Time::at_ms(100_000.0);
         let (brain, _) = Brain::start(now, 7, terms);
         let (finals, cancels, sent) = (Vec::new(), Vec::new(), Vec::new());
-        let mut fake = Fake { brain, now, finals, cancels, sent, again: false, at_a: 0.0, next: 0 };
+        let mut fake =
+            Fake { brain, now, finals, cancels, sent, again: false, at_a: 0.0, elsewhere: 0.0, next: 0 };
         fake.list(hosts);
         fake
     }
@@ -126,7 +128,7 @@
         let (leg, sent) = self.sent[at].clone();
         let waited = Some(Span::from_ms(waited));
         let (took, closed) = (Span::from_ms(1100), ending == Ending::Answered);
-        let in_hand = Some(if sent.host == host("a") { self.at_a } else { 0.0 });
+        let in_hand = Some(if sent.host == host("a") { self.at_a } else { self.elsewhere });
         let (pull, host) = (sent.pull, sent.host);
         let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand };
         let decisions = self.brain.hand_off_ended(self.now, ended);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -288,24 +288,30 @@
     assert!(fake.finals.len() > 100, "the rest is told in time");
 }
 
+/// Where 60 objects go in a location of 17 dispatchers whose caches report so many pulls.
+fn hosts_under(at_a: f64, elsewhere: f64) -> Vec<HostId> {
+    let mut fake = Fake::new(Terms { zone_dispatchers: vec![17, 0], ..terms() }, usual());
+    (fake.at_a, fake.elsewhere) = (at_a, elsewhere);
+    let mut host_of = |object| {
+        fake.fill(object, 20.0, Told::Held, |_| 0);
+        fake.sent.last().unwrap().1.host.clone()
+    };
+    (0..10).for_each(|object| _ = host_of(object));
+    (0..60).map(host_of).collect()
+}
+
 #[test]
 fn from_a_loaded_cache_the_same_part_of_the_objects_moves_at_every_dispatcher() {
-    let many = Terms { zone_dispatchers: vec![17, 0], ..terms() };
-    let hosts = |at_a| {
-        let mut fake = Fake::new(many.clone(), usual());
-        fake.at_a = at_a;
-        let mut host_of = |object| {
-            fake.fill(object, 100.0, Told::Held, |_| 0);
-            fake.sent.last().unwrap().1.host.clone()
-        };
-        (0..10).for_each(|object| _ = host_of(object));
-        (0..60).map(host_of).collect::<Vec<_>>()
-    };
-    let (idle, quiet, loaded) = (hosts(0.0), hosts(3.0), hosts(14.0));
+    let (idle, loaded) = (hosts_under(0.0, 0.0), hosts_under(14.0, 0.0));
     let moved = idle.iter().zip(&loaded).filter(|(idle, loaded)| idle != loaded).count();
-    assert_eq!(idle, quiet);
+    assert_eq!(idle, hosts_under(3.0, 0.0));
     assert!((5..55).contains(&moved), "{moved} of 60 moved");
-    assert_eq!(loaded, hosts(14.0), "the hash tells which");
+    assert_eq!(loaded, hosts_under(14.0, 0.0), "the hash tells which");
+}
+
+#[test]
+fn where_all_caches_are_evenly_loaded_the_hash_is_kept_to() {
+    assert_eq!(hosts_under(0.0, 0.0), hosts_under(20.0, 19.0));
 }
 
 #[test]
