Known misses go on by turns of chance

Now one look in as many as the location has dispatchers lets one go. What else: any jam that ends for all at once. Harm: a lone waiting miss loses up to a second.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -657,10 +657,11 @@
 
     /// Sends a pull to the next cache in its order, or past the caches where none is up.
     fn hand_off(&mut self, id: PullId) -> bool {
+        let turn = self.chance.random_bool(1.0 / self.zone_mates);
         let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.goes_through, held.work);
-        let open = through || self.link_open(held, kind.mean_work);
+        let open = through || (self.link_open(held, kind.mean_work) && (turn || !held.missed));
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
         let idle = self.link.is_some_and(|(full, _)| full < LINK_IDLE) && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
