A known miss that finds its link or source full bounces at once

Cause: waiting misses of all dispatchers of a location go on together once the link's report falls under its bound, and fill it to 11 to 25 times what fits. The client has its answer at once and a time to come back. What else: any jam that clears for all at once. Harm: a lone miss bounces where a wait of some hundred ms would have done; it still looks once more after its pause.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -512,11 +512,12 @@
         let waits = |held: &&Held| held.out.is_empty() && self.now >= held.not_before;
         let Some(_) = self.pulls.get(&id).filter(waits) else { return false };
         if !self.hand_off(id) {
-            // Guards against overload in which all come late: what can't come in time makes room at once.
+            // Guards against overload in which all come late: what can't come in time makes room at once, and so
+            // does a known miss that may not be filled: the waiting ones all go on together when a link clears.
             let held = self.pulls.get_mut(&id).expect("just seen");
             held.not_before = self.now + AGAIN;
             held.tried.clear();
-            if held.promised.since(self.now).ms() < held.work {
+            if held.missed || held.promised.since(self.now).ms() < held.work {
                 return self.give_up(id);
             }
             self.due.insert((held.not_before, id));
@@ -657,11 +658,10 @@
 
     /// Sends a pull to the next cache in its order, or past the caches where none is up.
     fn hand_off(&mut self, id: PullId) -> bool {
-        let turn = self.chance.random_bool(1.0 / self.zone_mates);
         let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
         let (through, work) = (kind.goes_through, held.work);
-        let open = through || (self.link_open(held, kind.mean_work) && (turn || !held.missed));
+        let open = through || self.link_open(held, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
         let idle = self.link.is_some_and(|(full, _)| full < LINK_IDLE) && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
