What waits without room bounces once a full cache could not answer it in time

It waited until its bare sending time no longer fitted, then went to caches that take FULL times that.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -517,7 +517,7 @@
             let held = self.pulls.get_mut(&id).expect("just seen");
             held.not_before = self.now + AGAIN;
             held.tried.clear();
-            if held.missed || held.promised.since(self.now).ms() < held.work {
+            if held.missed || held.promised.since(self.now).ms() < held.work * FULL {
                 return self.give_up(id);
             }
             self.due.insert((held.not_before, id));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -360,3 +360,13 @@
     let (quick, slow) = (sent_at_once(100), sent_at_once(300));
     assert!(slow < 4 && quick > 12, "{quick} quick and {slow} slow fills at the origin");
 }
+
+#[test]
+fn a_pull_without_room_bounces_once_a_full_cache_could_not_answer_it_in_time() {
+    let mut fake = Fake::new(terms(), Vec::new());
+    fake.pull(0, 1);
+    fake.pass(450);
+    assert!(fake.finals.is_empty(), "of 700 ms there are 250 left, at a full cache it takes 200");
+    fake.pass(130);
+    assert_eq!(fake.finals.len(), 1);
+}
