While the origin is out a known miss bounces instead of asking every parent

Parents that give only what they hold answered "lacks it" 10,000 times in 2.5 s, as each pull went through all of them; the shared hash puts what one may hold at the first. What else: any origin that is out for long. Harm: an object that moved down the hash may lie at another parent.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -512,8 +512,8 @@
         let waits = |held: &&Held| held.out.is_empty() && self.now >= held.not_before;
         let Some(_) = self.pulls.get(&id).filter(waits) else { return false };
         if !self.hand_off(id) {
-            // Guards against overload in which all come late: what can't come in time makes room at once, and so
-            // does a known miss that may not be filled: the waiting ones all go on together when a link clears.
+            // Guards against overload in which all come late: what can't come in time makes room at once. So
+            // does a known miss that may not be filled: those held would go on together when a link clears.
             let held = self.pulls.get_mut(&id).expect("just seen");
             held.not_before = self.now + AGAIN;
             held.tried.clear();
@@ -616,8 +616,8 @@
         let mut order = self.in_hash_order(Role::Cache, held.pull.object);
         order.retain(|host| up(host) && !held.tried.contains(&host.line.host) && fits(host));
         let least = order.iter().map(|host| self.load(host)).min_by(f64::total_cmp)?;
-        // Guards against the hash being lost where all caches are loaded alike: then no object moves. On a full
-        // link only the cache that may hold it helps, so the hash is kept to for longer.
+        // Guards against the hash being lost where all caches are loaded alike: then no object moves. On a
+        // full link only the cache that may hold it helps, so the hash is kept to for longer.
         let most = if open { (least * BOUND).min(ADMIT) } else { ADMIT };
         let left = held.promised.since(self.now).ms();
         // Guards against a loaded cache losing all its objects at once, and with them its hits: they go one
@@ -669,11 +669,13 @@
         let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
         let origin = self.origin();
         let up = origin.filter(|origin| origin.usable()).map(|origin| &origin.line.host);
-        // Guards against slow sources whose fills take up the caches: what is out there keeps to a window.
-        let bears = |id: &HostId| through || self.hosts.get(id).is_some_and(|h| h.in_hand < h.window);
-        let fits = |id: &HostId| through || (bears(id) && self.in_scope(held, &self.hosts[id]));
+        // Guards against slow sources whose fills take up the caches, and a stopped origin being asked on by
+        // parents, or every parent asked in turn for what the first one lacks.
+        let stopped = origin.is_some_and(|origin| !origin.usable() && origin.next_trial > now);
+        let room = |id: &HostId| self.hosts[id].in_hand < self.hosts[id].window && !(stopped && held.missed);
+        let fits = |id: &HostId| through || (room(id) && self.in_scope(held, &self.hosts[id]));
         let (host, source) = match (cache, self.pick_source(held)) {
-            (Some(cache), Some(source)) if open && bears(&source) => (cache, source),
+            (Some(cache), Some(source)) if open && (through || room(&source)) => (cache, source),
             (Some(_), _) if held.missed => return false,
             (Some(cache), _) => (cache.clone(), cache),
             (None, Some(to)) if straight && fits(&to) => (to.clone(), up.cloned().unwrap_or(to)),
@@ -681,8 +683,6 @@
         };
         let behind = &self.hosts[&source];
         let (past, trial) = (!self.hosts[&host].is(Role::Cache), behind.next_trial <= now);
-        // Guards against a stopped origin being asked on by every parent, by fills that hold their places.
-        let stopped = origin.is_some_and(|origin| !origin.usable() && origin.next_trial > now);
         let only_held = stopped && behind.is(Role::Parent) && !through;
         let oldest = self.oldest(&held.pull, kind.fresh);
         let slow = self.load(&self.hosts[&host]).max(1.0);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -226,7 +226,7 @@
 }
 
 #[test]
-fn behind_a_stopped_origin_parents_give_only_what_they_hold() {
+fn behind_a_stopped_origin_parents_give_only_what_they_hold_and_the_rest_bounces() {
     let mut fake = Fake::new(terms(), usual());
     for object in 0..3 {
         let at = fake.pull(0, object);
@@ -234,6 +234,11 @@
     }
     let at = fake.pull(0, 9);
     assert!(fake.sent[at].1.only_held && is_parent(&fake.sent[at].1.source), "and no parent is blamed");
+    let pull = fake.sent[at].1.pull;
+    fake.end(at, Ending::NoCopy, Told::SourceLacks, 20);
+    fake.pass(150);
+    assert!(fake.sent[at + 1..].iter().all(|(_, sent)| sent.pull != pull), "no other parent is asked");
+    assert!(fake.finals.iter().any(|last| matches!(last, Final::Bounced { pull: id, .. } if *id == pull)));
 }
 
 #[test]
