One window check, report places found at start; stale comments and leftovers put right

What counts as slow moved from the rating loop into Host::praise, where windows are widened and narrowed. - The adapter searched the names of the report's values for every outcome; their places are found once at start, as the kinds' are. - A name used once and a lookup before each removal from the due times are gone. Comments still said that known misses wait, and that windows hold past the parents only.

--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -35,8 +35,9 @@
     workloads: Vec<String>,
     zones: Vec<String>,
     kinds: Vec<String>,
-    /// What the values of a load report are.
-    report: Vec<String>,
+    /// Where in a load report the fullness of the link and the pulls in hand stand.
+    link_at: Option<usize>,
+    in_hand_at: Option<usize>,
     parent_kind: Option<usize>,
     origin_kind: Option<usize>,
 }
@@ -230,7 +231,10 @@
         };
         let (brain, decisions) = Brain::start(now, seed, terms);
         let origin_kind = kind_place(family.number_or_none("source_kind")?);
-        Ok((Seat { brain, workloads: names, zones, kinds, report, parent_kind, origin_kind }, decisions))
+        let (link_at, in_hand_at) = (place(&report, "x1"), place(&report, "outstanding"));
+        let workloads = names;
+        let seat = Seat { brain, workloads, zones, kinds, link_at, in_hand_at, parent_kind, origin_kind };
+        Ok((seat, decisions))
     }
 
     fn listed(&self, rows: &[Value]) -> Result<Vec<Listed>, String> {
@@ -279,7 +283,7 @@
 
     fn ended(&self, fields: &Fields) -> Result<Ended, String> {
         let values = fields.numbers("stats")?;
-        let told = |name| place(&self.report, name).and_then(|place| values.get(place)).copied();
+        let told = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
         Ok(Ended {
             pull: PullId(fields.whole("request_id")?),
             leg: Leg(fields.whole("leg")? as u32),
@@ -312,8 +316,8 @@
                 _ => Told::Nothing,
             },
             waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
-            link: told("x1"),
-            in_hand: told("outstanding"),
+            link: told(self.link_at),
+            in_hand: told(self.in_hand_at),
         })
     }
 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -33,7 +33,7 @@
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
 const DOUBT: f64 = 8.0; // others from which on a report counts more than the own guess
-const WINDOW: f64 = 24.0; // hand-offs out past the parents or the caches at first: most end as hits
+const WINDOW: f64 = 24.0; // hand-offs out at a source, or past the caches, at first: most end as hits
 const NARROWED: f64 = 0.8; // left of that after a slow or failed one
 const SLOW: [f64; 2] = [0.85, 0.5]; // of overdue, past which a fill narrows a window; second, the origin's
 const SETTLED: f64 = 100.0; // samples after which a mean size is trusted and follows slowly
@@ -114,7 +114,7 @@
     beaten: [u32; 2],
     in_hand: f64,
     others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
-    /// How many hand-offs may be out past the parents or past the caches at once.
+    /// How many hand-offs may be out at it, as a source or past the caches, at once.
     window: f64,
     spent: Vec<(Time, PullId, Leg, f64)>,
 }
@@ -133,15 +133,19 @@
     fn usable(&self) -> bool {
         self.line.standing == Standing::InService && self.reputation >= FLOOR
     }
-    fn praise(&mut self, now: Time, in_time: bool) {
+    fn praise(&mut self, now: Time, out: &Out) {
+        let slow = out.overdue.since(out.sent) * SLOW[usize::from(self.is(Role::Origin))];
         self.heard = now;
-        self.widen(in_time);
+        self.widen(now < out.sent + slow);
         self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON; // rounds no trial below the floor
     }
     // Guards against a source that all dispatchers lean on when others fail: it slows, then stops.
     fn widen(&mut self, well: bool) {
         self.window = if well { self.window + 1.0 } else { (self.window * NARROWED).max(1.0) };
     }
+    fn has_room(&self) -> bool {
+        self.in_hand < self.window
+    }
     fn leave(&mut self) {
         self.in_hand = (self.in_hand - 1.0).max(0.0);
     }
@@ -335,8 +339,7 @@
             held.ran = Some((out.sent, out.host.clone()));
         }
         // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
-        let failed = matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed);
-        if failed {
+        if matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed) {
             held.tried.push(out.source.clone());
         } else if !lacking {
             held.tried.push(out.host.clone());
@@ -376,13 +379,11 @@
     // The measures of the paper's tables: latency and bandwidth of each source, reputation of all.
     fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>, cached: bool) {
         let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
-        let (now, behind) = (self.now, cached && out.source != out.host);
+        let behind = cached && out.source != out.host;
         if ended.ending == Answered {
             let source = Some(&out.source).filter(|_| filled && behind);
             for id in [&out.host].into_iter().chain(source) {
-                let Some(host) = self.hosts.get_mut(id) else { continue };
-                let slow = out.overdue.since(out.sent) * SLOW[usize::from(host.is(Role::Origin))];
-                host.praise(now, now < out.sent + slow);
+                self.hosts.get_mut(id).into_iter().for_each(|host| host.praise(self.now, out));
             }
             source.into_iter().for_each(|_| self.measure(out, ended, large));
         }
@@ -435,9 +436,8 @@
             self.purges.retain(|(.., made)| now.since(*made) < self.settles + TIDY);
             self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
         }
-        while let Some(&(at, id)) = self.due.first().filter(|(at, _)| *at <= now) {
-            self.due.remove(&(at, id));
-            self.agenda.insert(id);
+        while self.due.first().is_some_and(|(at, _)| *at <= now) {
+            self.agenda.extend(self.due.pop_first().map(|(_, id)| id));
         }
         while let Some(id) = self.agenda.pop_first() {
             while RULES.iter().any(|rule| rule(self, id)) {}
@@ -582,7 +582,7 @@
     }
 
     // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
-    // full only hits are asked for, and known misses wait for room, the small ones first.
+    // full only hits are asked for, and known misses bounce, the large ones first.
     fn link_open(&self, held: &Held, mean: f64) -> bool {
         let late = held.promised.since(self.now).ms() < held.work;
         let bias = if late { 0.0 } else { mean / held.work.max(1.0) }.clamp(1.0 / LINK_BIAS, LINK_BIAS);
@@ -647,7 +647,7 @@
             origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
-            let clear = origin.filter(|host| host.usable() && host.in_hand < host.window && new(host));
+            let clear = origin.filter(|host| host.usable() && host.has_room() && new(host));
             let usual = parents.iter().find(set).copied().or(clear).or(first);
             // Guards against a few parents left with the fills of all: they refuse, the next would too.
             let failed = held.tried.iter().filter_map(|id| self.hosts.get(id)).any(|h| h.is(Role::Parent));
@@ -672,10 +672,10 @@
         // Guards against slow sources whose fills take up the caches, and a stopped origin being asked on by
         // parents, or every parent asked in turn for what the first one lacks.
         let stopped = origin.is_some_and(|origin| !origin.usable() && origin.next_trial > now);
-        let room = |id: &HostId| self.hosts[id].in_hand < self.hosts[id].window && !(stopped && held.missed);
-        let fits = |id: &HostId| through || (room(id) && self.in_scope(held, &self.hosts[id]));
+        let room = |id: &HostId| through || (self.hosts[id].has_room() && !(stopped && held.missed));
+        let fits = |id: &HostId| room(id) && (through || self.in_scope(held, &self.hosts[id]));
         let (host, source) = match (cache, self.pick_source(held)) {
-            (Some(cache), Some(source)) if open && (through || room(&source)) => (cache, source),
+            (Some(cache), Some(source)) if open && room(&source) => (cache, source),
             (Some(_), _) if held.missed => return false,
             (Some(cache), _) => (cache.clone(), cache),
             (None, Some(to)) if straight && fits(&to) => (to.clone(), up.cloned().unwrap_or(to)),
