--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -127,6 +127,8 @@
     fn hand_off(&mut self, leg: Leg, hand_off: HandOff) {
         must(self.reply.is_some(), "nothing is handed off for a pull that is over");
         count(Count::hand_offs);
+        let (to, from, allow) = (&hand_off.host.0, &hand_off.source.0, hand_off.allow.ms());
+        log::debug!("pull {} leg {} to {to} filled from {from} within {allow} ms", self.id.0, leg.0);
         let (router, asked, host) = (self.router.clone(), self.asked.clone(), hand_off.host.clone());
         let task = self.tasks.spawn_local(async move {
             let wish = Wish {
@@ -155,7 +157,7 @@
         let Some(at) = self.out.iter().position(|out| out.leg == leg) else { return };
         let Out { host, sent, .. } = self.out.remove(at);
         let Outcome { ending, body, unchanged, told, waited, link, in_hand } = outcome;
-        log::debug!("pull {} leg {} at {}: {ending:?} {told:?}", self.id.0, leg.0, host.0);
+        log::debug!("pull {} leg {} at {}: {ending:?} {told:?} {link:?}", self.id.0, leg.0, host.0);
         if ending == Ending::Answered && self.reply.is_some() {
             self.answer(if unchanged { Answer::Unchanged } else { Answer::Finished(body) });
         }
