--- a/crates/flaxdeck-dispatcher/src/protocol/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/mod.rs
@@ -76,3 +76,17 @@
         Outcome { ending, body, unchanged: false, told, waited: None, link: None, in_hand: None }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use flaxdeck_terms::Names;
+    use flaxdeck_terms::fields::Fields;
+
+    /// The names of the toy world.
+    pub fn names() -> Names {
+        let config = include_str!("../../../../examples/toy/config.json");
+        let value: serde_json::Value = serde_json::from_str(config).unwrap();
+        let settings = Fields::of(&value, "the whole").unwrap().inner("settings").unwrap();
+        flaxdeck_terms::read(&settings).unwrap().1
+    }
+}
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -44,8 +44,6 @@
     next: Cell<u64>,
     /// The time at which the facade wants its tick has changed.
     due_changed: Notify,
-    /// When this process ends at the latest, once it was told to.
-    ends: Cell<Option<Time>>,
 }
 
 impl Router {
@@ -67,7 +65,6 @@
             clients: Room::new(bounds.clients),
             next: Cell::new(0),
             due_changed: Notify::new(),
-            ends: Cell::new(None),
         })
     }
 
@@ -78,7 +75,7 @@
 
     /// No pull outlasts this time.
     pub fn end_by(&self, time: Time) {
-        self.ends.set(Some(time));
+        self.report(News::Ending(time));
     }
 
     fn report(&self, news: News) {
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -37,7 +37,6 @@
         let (id, now) = (PullId(self.next.get()), self.clock.now());
         self.next.set(id.0 + 1);
         count(Count::pulls);
-        let stop = now + asked.waits;
         let pull = Pull {
             id,
             workload: asked.workload,
@@ -45,7 +44,7 @@
             part: asked.part,
             group: asked.group,
             size_kb: asked.size_kb,
-            hard_stop: self.ends.get().map_or(stop, |ends| ends.min(stop)),
+            hard_stop: now + asked.waits,
             again: asked.again,
         };
         let seat = Rc::new(Seat::default());
--- /dev/null
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -0,0 +1,395 @@
+//! Starts the built dispatcher in a toy world and speaks to it over loopback.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::thread;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use flaxdeck_toy::{Answer, Client, Coordinator, Host, Manner, body_of, pull_message};
+use serde_json::{Value, json};
+
+const CONFIG: &str = include_str!("../../../examples/toy/config.json");
+const KEY: &str = "7f3a9c21e0b4d655";
+/// Long enough for anything that happens at all.
+const SOON: Duration = Duration::from_secs(10);
+
+/// A dispatcher among caches, a parent, the origin and a coordinator.
+struct World {
+    process: Child,
+    address: SocketAddr,
+    caches: Vec<Host>,
+    parent: Host,
+    origin: Host,
+    coordinator: Coordinator,
+}
+
+fn command(config: &str) -> Command {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("flaxdeck-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxdeck-dispatcher"));
+    command.env_remove("GW_LISTEN").env("GW_CONFIG", path).stderr(Stdio::piped());
+    command
+}
+
+impl World {
+    fn start(caches: u32) -> World {
+        World::with(caches, |_| {})
+    }
+
+    fn with(caches: u32, change: impl FnOnce(&mut Value)) -> World {
+        let host = |id: String| Host::start(&id, "127.0.0.1:0").unwrap();
+        let caches: Vec<Host> = (0..caches).map(|n| host(format!("s-0000ca0{n}"))).collect();
+        let (parent, origin) = (host("s-00009a01".into()), host("s-00000001".into()));
+        let coordinator = Coordinator::start("127.0.0.1:0", 1).unwrap();
+        let row = |host: &Host, class: &str, site: &str| {
+            json!({"host": host.id, "dial": host.address.to_string(), "site": site, "class": class,
+                "block": 0, "health": "Ready", "share": 4, "born_ms": 0})
+        };
+        let mut hosts: Vec<Value> = caches.iter().map(|cache| row(cache, "cache", "here")).collect();
+        hosts.extend([row(&parent, "parent", "hub"), row(&origin, "origin", "hub")]);
+        let mut config: Value = serde_json::from_str(CONFIG).unwrap();
+        config["listen"] = "127.0.0.1:0".into();
+        config["coordinator"] = coordinator.address.to_string().into();
+        config["known"]["updates"][0]["endpoints"]["hosts"] = hosts.into();
+        change(&mut config);
+        let mut process = command(&config.to_string()).spawn().unwrap();
+        let mut lines = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
+        let line = lines.find(|line| line.contains("listening at ")).unwrap();
+        let address = line.split("listening at ").nth(1).unwrap().split(',').next().unwrap();
+        let address = address.parse().unwrap();
+        thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
+        World { process, address, caches, parent, origin, coordinator }
+    }
+
+    fn client(&self) -> Client {
+        Client::connect(self.address).unwrap()
+    }
+
+    /// Pulls one object on a connection of its own.
+    fn pull(&self, class: &str, key: &str, wait: u64, body: &[u8]) -> Answer {
+        let mut client = self.client();
+        client.pull(class, key, wait, body).unwrap();
+        client.answer().unwrap()
+    }
+
+    fn hosts(&self) -> impl Iterator<Item = &Host> {
+        self.caches.iter().chain([&self.parent, &self.origin])
+    }
+
+    fn terminate(&self) {
+        let kill = Command::new("sh").args(["-c", &format!("kill -TERM {}", self.process.id())]).status();
+        assert!(kill.unwrap().success());
+    }
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+fn finished(answer: &Answer, key: &str) -> bool {
+    matches!(answer, Answer::Served { body, .. } if *body == body_of(&format!("{key}.0")))
+}
+
+fn word(answer: Answer) -> String {
+    match answer {
+        Answer::Error { word, .. } => word,
+        other => format!("{other:?}"),
+    }
+}
+
+fn wait_for(what: &str, mut come: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !come() {
+        assert!(start.elapsed() < SOON, "{what}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+fn key(number: u32) -> String {
+    format!("{number:016x}")
+}
+
+#[test]
+fn a_pull_is_finished_with_the_bytes_of_the_host_and_its_fields_go_on_unchanged() {
+    let world = World::start(1);
+    let mut client = world.client();
+    let alive = client.alive().unwrap();
+    assert_eq!(client.answer().unwrap(), Answer::Alive { call: alive });
+    client.pull("page", KEY, 2000, b"").unwrap();
+    assert!(finished(&client.answer().unwrap(), KEY));
+    let line = &world.caches[0].heard("want")[0].0;
+    for part in
+        ["want 0000000000001002 ", "class=page,", &format!("key={KEY},"), "part=0,", "fetch=s-00009a01,"]
+    {
+        assert!(line.contains(part), "{part} in {line}");
+    }
+}
+
+#[test]
+fn messages_may_be_cut_anywhere_and_joined() {
+    let world = World::start(1);
+    let mut client = world.client();
+    let fields = [("id", "9b1f03aa5c7e2d41"), ("wait", "2500"), ("key", KEY), ("slice", "0"), ("set", "17")];
+    let message = pull_message(300, "page", &fields, b"");
+    message.iter().for_each(|byte| client.send(&[*byte]).unwrap());
+    assert!(finished(&client.answer().unwrap(), KEY));
+    client.send(&[message.clone(), pull_message(70_000, "page", &fields, b"")].concat()).unwrap();
+    assert!(finished(&client.answer().unwrap(), KEY) && finished(&client.answer().unwrap(), KEY));
+}
+
+#[test]
+fn the_clients_own_copy_may_be_the_one() {
+    let world = World::start(1);
+    world.caches[0].set(Manner::Say("unchanged"));
+    let fields = [("id", "9b1f03aa5c7e2d41"), ("wait", "2500"), ("key", KEY), ("seen", "4be0c1927d55a6f3")];
+    let mut client = world.client();
+    client.send(&pull_message(1, "page", &fields, b"")).unwrap();
+    let current = BTreeMap::from([("current".into(), "1".into())]);
+    assert_eq!(client.answer().unwrap(), Answer::Served { call: 1, body: vec![], fields: current });
+    assert!(world.caches[0].heard("want")[0].0.contains("holds=4be0c1927d55a6f3"));
+}
+
+// What is known of how a hand-off ended decides whether an at-most-once pull may be sent again or bounced.
+#[test]
+fn an_at_most_once_pull_is_sent_again_or_bounced_only_if_nothing_ran() {
+    let rows = [
+        (Manner::Say("full"), true),
+        (Manner::Say("absent"), true),
+        (Manner::Say("moot"), true),
+        (Manner::Say("failed"), false),
+        (Manner::Break, false),
+        (Manner::BreakInAnswer, false),
+        (Manner::Garble, false),
+        (Manner::Silent, false),
+    ];
+    for (manner, again) in rows {
+        let world = World::start(1);
+        world.origin.set(manner);
+        let answer = world.pull("submit", KEY, 900, b"a form");
+        assert_eq!(word(answer), if again { "Backoff" } else { "Lost" }, "{manner:?}");
+        let heard = world.origin.heard("want");
+        assert_eq!(heard.len() > 1, again, "{manner:?}: {heard:?}");
+        assert!(heard.iter().all(|(_, body)| body == b"a form"));
+    }
+    let world = World::start(1);
+    assert_eq!(word(world.pull("submit", KEY, 900, b"a form")).split(' ').next(), Some("Served"));
+    world.origin.kill();
+    assert_eq!(word(world.pull("submit", KEY, 900, b"a form")), "Backoff", "nothing reaches a dead host");
+    assert_eq!(world.origin.heard("want").len(), 1);
+}
+
+#[test]
+fn pulls_move_past_a_host_that_dies_and_one_that_fails() {
+    for manner in [None, Some(Manner::Say("failed")), Some(Manner::Break), Some(Manner::Garble)] {
+        let world = World::start(2);
+        (0..8).for_each(|n| assert!(finished(&world.pull("page", &key(n), 2000, b""), &key(n))));
+        match manner {
+            Some(manner) => world.caches[0].set(manner),
+            None => world.caches[0].kill(),
+        }
+        (0..8)
+            .for_each(|n| assert!(finished(&world.pull("page", &key(n), 2000, b""), &key(n)), "{manner:?}"));
+    }
+}
+
+#[test]
+fn a_silent_host_holds_up_no_pull_of_another() {
+    let world = World::start(2);
+    world.caches[0].set(Manner::Silent);
+    let mut client = world.client();
+    for n in 0..16 {
+        client.pull("page", &key(n), 2400, b"").unwrap();
+    }
+    let answers: Vec<Answer> = (0..16).map(|_| client.answer().unwrap()).collect();
+    let silent: Vec<String> = world.caches[0].heard("want").into_iter().map(|(line, _)| line).collect();
+    assert!(!silent.is_empty(), "some belong to the silent host");
+    for n in (0..16).filter(|n| !silent.iter().any(|line| line.contains(&key(*n)))) {
+        assert!(answers.iter().any(|answer| finished(answer, &key(n))), "{n} does not belong to it");
+    }
+    wait_for("given up at the silent host", || !world.caches[0].heard("never_mind").is_empty());
+}
+
+#[test]
+fn a_pull_taken_back_gets_no_answer_and_its_late_one_is_nobodys() {
+    let world = World::start(1);
+    world.caches[0].set(Manner::Late(400));
+    let mut client = world.client();
+    let call = client.pull("page", KEY, 2400, b"").unwrap();
+    wait_for("handed off", || !world.caches[0].heard("want").is_empty());
+    client.cancel(call).unwrap();
+    wait_for("given up", || !world.caches[0].heard("never_mind").is_empty());
+    assert!(client.quiet_for(Duration::from_millis(600)));
+    world.caches[0].set(Manner::Serve);
+    for n in 0..4 {
+        client.pull("page", &key(n), 2000, b"").unwrap();
+        assert!(finished(&client.answer().unwrap(), &key(n)));
+    }
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_pulls_with_it() {
+    let world = World::start(1);
+    world.caches[0].set(Manner::Silent);
+    let mut client = world.client();
+    client.pull("page", KEY, 2400, b"").unwrap();
+    wait_for("handed off", || !world.caches[0].heard("want").is_empty());
+    drop(client);
+    wait_for("given up", || !world.caches[0].heard("never_mind").is_empty());
+}
+
+#[test]
+fn nothing_new_goes_to_a_host_that_drains() {
+    let mut world = World::start(2);
+    let (draining, at) = (world.caches[0].clone(), |world: &World| world.caches[0].heard("want").len());
+    (0..8).for_each(|n| assert!(finished(&world.pull("page", &key(n), 2000, b""), &key(n))));
+    assert!(at(&world) > 0);
+    world.coordinator.change(&draining, 1, 0, 0);
+    wait_for("the drain is heeded", || {
+        let before = at(&world);
+        (0..8).for_each(|n| drop(world.pull("page", &key(n), 2000, b"")));
+        at(&world) == before
+    });
+    let before = at(&world);
+    (0..32).for_each(|n| assert!(finished(&world.pull("page", &key(n), 2000, b""), &key(n))));
+    assert_eq!(at(&world), before);
+}
+
+#[test]
+fn after_a_purge_only_younger_copies_are_asked_for() {
+    let mut world = World::start(1);
+    assert!(finished(&world.pull("page", KEY, 2000, b""), KEY));
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64 - 100;
+    world.coordinator.purge_object(u64::from_str_radix(KEY, 16).unwrap(), unix);
+    let newer = |world: &World| {
+        let lines = world.caches[0].heard("want");
+        lines
+            .iter()
+            .filter_map(|(line, _)| line.split("newer=").nth(1)?.split([',', ' ']).next()?.parse().ok())
+            .max()
+    };
+    wait_for("the purge is heeded", || {
+        drop(world.pull("page", KEY, 2000, b""));
+        newer(&world).is_some()
+    });
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64 - unix;
+    let newer = newer(&world).unwrap();
+    assert!((1..=since).contains(&newer), "{newer} ms is from before the purge, {since} ms ago");
+    drop(world.pull("page", &key(9), 2000, b""));
+    assert!(
+        !world.caches[0].heard("want").last().unwrap().0.contains("newer="),
+        "other objects are left alone"
+    );
+}
+
+#[test]
+fn what_is_malformed_harms_only_its_own_connection() {
+    let world = World::start(1);
+    let mut good = world.client();
+    for bytes in [&b"GET / HTTP/1.1\r\n\r\n"[..], &[0x94, 0, 1, 0xdb, 0xff, 0xff, 0xff, 0xff], &[0xc1]] {
+        let mut bad = world.client();
+        bad.send(bytes).unwrap();
+        assert!(bad.ended());
+    }
+    let whole = [("id", "9b1f03aa5c7e2d41"), ("wait", "2500"), ("key", KEY), ("slice", "0")];
+    let with = |at: usize, value: &'static str| {
+        let mut fields = whole;
+        fields[at].1 = value;
+        pull_message(9, "page", &fields, b"")
+    };
+    let bad = [
+        pull_message(9, "nothing-known", &whole, b""),
+        pull_message(9, "page", &whole[1..], b""),
+        with(0, "9b1f, wait=1 0\r\n"),
+        with(1, "soon"),
+        with(2, "7f3a9c21e0b4d65g"),
+        with(3, "-1"),
+        pull_message(9, "page", &[whole[0], whole[1], whole[2], ("seen", "a,b=c d")], b""),
+    ];
+    for message in bad {
+        good.send(&message).unwrap();
+        assert!(matches!(good.answer().unwrap(), Answer::Error { call: 9, word, .. } if word != "Backoff"));
+    }
+    assert!(world.hosts().all(|host| host.heard("want").is_empty()));
+    good.pull("page", KEY, 2000, b"").unwrap();
+    assert!(finished(&good.answer().unwrap(), KEY));
+}
+
+#[test]
+fn sigterm_leaves_nothing_unanswered() {
+    let mut world = World::start(1);
+    world.caches[0].set(Manner::Late(600));
+    let mut early = world.client();
+    early.pull("page", KEY, 2400, b"").unwrap();
+    wait_for("handed off", || !world.caches[0].heard("want").is_empty());
+    world.terminate();
+    let mut late = world.client();
+    late.pull("page", &key(1), 2400, b"").unwrap();
+    assert!(finished(&early.answer().unwrap(), KEY));
+    assert!(finished(&late.answer().unwrap(), &key(1)));
+    assert!(world.process.wait().unwrap().success());
+}
+
+// A pull may wait for longer than a planned restart leaves.
+#[test]
+fn sigterm_cuts_short_what_would_outlast_the_process() {
+    let mut world = World::start(1);
+    world.hosts().for_each(|host| host.set(Manner::Silent));
+    let mut client = world.client();
+    client.pull("clip", KEY, 30_000, b"").unwrap();
+    wait_for("handed off", || !world.caches[0].heard("want").is_empty());
+    let told = Instant::now();
+    world.terminate();
+    assert_eq!(word(client.answer().unwrap()), "Backoff");
+    assert!(world.process.wait().unwrap().success());
+    assert!(told.elapsed() < Duration::from_millis(3700));
+}
+
+#[test]
+fn clients_past_their_third_of_the_descriptors_cost_the_longest_idle_its_connection() {
+    let world = World::with(1, |config| config["limits"]["sockets"] = 60.into());
+    let mut clients: Vec<Client> = (0..50).map(|_| world.client()).collect();
+    let last = clients.last_mut().unwrap();
+    last.pull("page", KEY, 2400, b"").unwrap();
+    assert!(finished(&last.answer().unwrap(), KEY));
+    assert!(clients[0].ended());
+}
+
+#[test]
+fn pulls_past_what_memory_holds_are_bounced() {
+    let world = World::with(1, |config| config["limits"]["memory_mb"] = 5.into());
+    world.hosts().for_each(|host| host.set(Manner::Late(300)));
+    let mut client = world.client();
+    for n in 0..20 {
+        client.pull("page", &key(n), 2400, b"").unwrap();
+    }
+    let answers: Vec<Answer> = (0..20).map(|_| client.answer().unwrap()).collect();
+    let bounced =
+        answers.iter().filter(|answer| matches!(answer, Answer::Error { word, .. } if word == "Backoff"));
+    assert!((10..20).contains(&bounced.count()));
+}
+
+#[test]
+fn a_bad_start_says_why_in_one_line() {
+    let fails = |mut command: Command, why: &str| {
+        let output = command.output().unwrap();
+        let text = String::from_utf8(output.stderr).unwrap();
+        assert!(!output.status.success() && text.contains(why) && text.lines().count() == 1, "{text}");
+    };
+    let mut bare = command("{}");
+    bare.env_remove("GW_CONFIG");
+    fails(bare, "GW_CONFIG is not set");
+    fails(command("{]"), "is not JSON");
+    fails(command("{}"), "field listen is missing");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut config: Value = serde_json::from_str(CONFIG).unwrap();
+    config["listen"] = taken.local_addr().unwrap().to_string().into();
+    fails(command(&config.to_string()), "cannot listen");
+}
--- /dev/null
+++ b/examples/toy/src/coordinator.rs
@@ -0,0 +1,89 @@
+//! The coordinator: numbered events, as frames to whoever asks from a number on.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::Duration;
+
+use crate::{Host, spawn};
+
+/// An empty frame comes each second.
+const QUIET: Duration = Duration::from_secs(1);
+
+/// Event numbers with their frames' kind and payload, and what wakes the connections.
+type Events = Arc<(Mutex<Vec<(u64, u8, Vec<u8>)>>, Condvar)>;
+
+pub struct Coordinator {
+    pub address: SocketAddr,
+    events: Events,
+    next: u64,
+}
+
+impl Coordinator {
+    /// Starts after the events that a configuration holds already.
+    pub fn start(address: &str, known: u64) -> io::Result<Coordinator> {
+        let listener = TcpListener::bind(address)?;
+        let (address, events) = (listener.local_addr()?, Events::default());
+        let shared = events.clone();
+        spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let events = shared.clone();
+                spawn(move || {
+                    let _ = feed(stream, &events);
+                });
+            }
+        });
+        Ok(Coordinator { address, events, next: known + 1 })
+    }
+
+    fn tell(&mut self, kind: u8, payload: Vec<u8>) {
+        self.events.0.lock().expect("no holder panics").push((self.next, kind, payload));
+        self.next += 1;
+        self.events.1.notify_all();
+    }
+
+    /// A line of the list has changed: state 0 ready, 1 draining, 2 gone; zone and kind by their places.
+    pub fn change(&mut self, host: &Host, state: u8, zone: u8, kind: u8) {
+        let id = u32::from_str_radix(host.id.trim_start_matches("s-"), 16).expect("an id is s- and hex");
+        let SocketAddr::V4(address) = host.address else { panic!("hosts have IPv4 addresses") };
+        let mut record = id.to_be_bytes().to_vec();
+        record.extend(address.ip().octets());
+        record.extend(address.port().to_be_bytes());
+        record.extend([state, zone, kind, 0, 0]);
+        record.extend(4000u32.to_be_bytes());
+        record.extend(0u64.to_be_bytes());
+        self.tell(2, record);
+    }
+
+    pub fn purge_object(&mut self, object: u64, unix_ms: u64) {
+        self.tell(3, [object.to_be_bytes(), unix_ms.to_be_bytes()].concat());
+    }
+}
+
+fn feed(mut stream: TcpStream, events: &Events) -> io::Result<()> {
+    let mut number = [0; 8];
+    stream.read_exact(&mut number)?;
+    let mut last = u64::from_be_bytes(number);
+    loop {
+        let news: Vec<_> = {
+            let held = events.0.lock().expect("no holder panics");
+            let (held, _) = events
+                .1
+                .wait_timeout_while(held, QUIET, |held| held.last().is_none_or(|e| e.0 <= last))
+                .expect("no holder panics");
+            held.iter().filter(|event| event.0 > last).cloned().collect()
+        };
+        if news.is_empty() {
+            stream.write_all(&frame(last, 0, &[]))?;
+        }
+        for (number, kind, payload) in news {
+            stream.write_all(&frame(number, kind, &payload))?;
+            last = number;
+        }
+    }
+}
+
+fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let length = (9 + payload.len()) as u32;
+    [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind], payload].concat()
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,15 +1,14 @@
 //! Every decision of one dispatcher. A caller makes a [`Brain`] with `start` and tells it each fact by a
-//! call: `list`, `pull`, `hand_off_ended`, `purge`, `wake`, `client_left`. Each call returns [`Decisions`],
-//! applied in the order of its fields: cancels, hand-offs, final answers, next wake. An answered hand-off
-//! is its pull's final answer. The interface is `words.rs`; the reasons are in `docs/design.md`.
+//! call: `list`, `pull`, `hand_off_ended`, `purge`, `wake`, `client_left`, `ends_at`. Each call returns
+//! [`Decisions`], applied in the order of its fields: cancels, hand-offs, final answers, next wake. An answered
+//! hand-off is its pull's final answer. The interface is `words.rs`; the reasons are in `docs/design.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::words::Ending::*;
-use crate::words::*;
+use crate::words::{Ending::*, *};
 
 // Ratings (the design page's open values).
 const LARGE_KB: f64 = 1000.0; // KB; from here bandwidth decides: the page's start
@@ -114,8 +113,7 @@
     beaten: [u32; 2],
     in_hand: f64,
     others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
-    /// How many hand-offs may be out at it, as a source or past the caches, at once.
-    window: f64,
+    window: f64, // how many hand-offs may be out at it at once, as a source or past the caches
     spent: Vec<(Time, PullId, Leg, f64)>,
 }
 
@@ -157,8 +155,7 @@
     source: HostId,
     sent: Time,
     overdue: Time,
-    /// Once it is overdue: whether its host or source has answered nothing since.
-    silent: Option<bool>,
+    silent: Option<bool>, // once it is overdue: whether its host or source has answered nothing since
     trial: bool,
 }
 
@@ -168,12 +165,10 @@
     promised: Time,
     out: Vec<Out>,
     legs: u32,
-    /// The first hand-off that may have run, with its host.
-    ran: Option<(Time, HostId)>,
+    ran: Option<(Time, HostId)>, // the first hand-off that may have run, with its host
     not_before: Time,
     pauses: u32,
-    /// The cache that it belongs to lacks it.
-    missed: bool,
+    missed: bool, // the cache that it belongs to lacks it
     tried: Vec<HostId>,
     done: bool,
 }
@@ -185,11 +180,10 @@
     kinds: Vec<Kind>,
     zone: ZoneId,
     zone_mates: f64,
-    /// The location's link by the last report, and when that came.
-    link: Option<(f64, Time)>,
-    /// Of caches and of parents.
-    ramps: [Ramp; 2],
+    link: Option<(f64, Time)>, // the location's by the last report, and when that came
+    ramps: [Ramp; 2],          // of caches and of parents
     early: Span,
+    ends: Time,
     settles: Span,
     come_back: Option<Span>,
     most_hand_offs: u32,
@@ -202,8 +196,7 @@
     pulls: BTreeMap<PullId, Held>,
     purges: Vec<(Option<ObjectId>, GroupId, Time)>,
     seen: BTreeMap<ObjectId, Time>,
-    /// When pulls given up were promised, for clients that ask again.
-    owed: BTreeMap<(ObjectId, u64), Time>,
+    owed: BTreeMap<(ObjectId, u64), Time>, // when pulls given up were promised, for clients that ask again
     due: BTreeSet<(Time, PullId)>,
     agenda: BTreeSet<PullId>,
     next_tidy: Time,
@@ -243,6 +236,7 @@
             link: None,
             ramps,
             early: terms.tick * TICKS_EARLY,
+            ends: Time::NEVER,
             settles: terms.purge_settles,
             come_back: terms.may_name_return.then(|| COME_BACK.min(terms.longest_return)),
             most_hand_offs: terms.most_hand_offs.max(1),
@@ -287,7 +281,8 @@
     }
 
     /// A client's pull, to be given exactly one final answer.
-    pub fn pull(&mut self, now: Time, pull: Pull) -> Decisions {
+    pub fn pull(&mut self, now: Time, mut pull: Pull) -> Decisions {
+        pull.hard_stop = pull.hard_stop.min(self.ends);
         let kind = &mut self.kinds[pull.workload.0];
         let told = pull.size_kb.filter(|_| self.kb_per_ms > 0.0).map(|kb| kb / self.kb_per_ms);
         if let Some(work) = told {
@@ -320,6 +315,16 @@
         self.settle(now)
     }
 
+    /// The process ends at that time: no pull outlasts it.
+    pub fn ends_at(&mut self, now: Time, ends: Time) -> Decisions {
+        self.ends = ends;
+        for (id, held) in &mut self.pulls {
+            held.pull.hard_stop = held.pull.hard_stop.min(ends);
+            self.due.insert((held.pull.hard_stop - self.early, *id));
+        }
+        self.settle(now)
+    }
+
     /// The time asked for in an earlier `Decisions::wake` has come.
     pub fn wake(&mut self, now: Time) -> Decisions {
         self.settle(now)
@@ -460,13 +465,10 @@
         let Some(_) = self.pulls.get(&id).filter(|held| held.done) else { return false };
         let held = self.pulls.remove(&id).expect("just seen");
         self.due.remove(&(held.pull.hard_stop - self.early, id));
-        for out in &held.out {
-            if self.cancels {
-                self.out.cancels.push(Cancel { pull: id, leg: out.leg });
-            }
-            for host in BTreeSet::from([&out.host, &out.source]) {
-                self.hosts.get_mut(host).into_iter().for_each(Host::leave);
-            }
+        let cancels = held.out.iter().filter(|_| self.cancels).map(|out| Cancel { pull: id, leg: out.leg });
+        self.out.cancels.extend(cancels);
+        for host in held.out.iter().flat_map(|out| BTreeSet::from([&out.host, &out.source])) {
+            self.hosts.get_mut(host).into_iter().for_each(Host::leave);
         }
         true
     }
@@ -719,8 +721,7 @@
 
     // Guards against purged copies, wherever they lie: no copy from before the youngest purge will do.
     fn oldest(&self, pull: &Pull, fresh: Option<Span>) -> Option<Span> {
-        let hit =
-            |object: Option<ObjectId>, group| object.map_or(group == pull.group, |it| it == pull.object);
+        let hit = |object: Option<_>, group| object.map_or(group == pull.group, |it| it == pull.object);
         let hits = self.purges.iter().filter(|(object, group, _)| hit(*object, *group));
         let made = hits.map(|(.., made)| *made).max()?;
         let age = self.now.since(made).less(HAIR).max(HAIR);
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -20,6 +20,8 @@
     /// An answered hand-off is its pull's final answer.
     Ended(Ended),
     Left(PullId),
+    /// This process ends at that time.
+    Ending(Time),
 }
 
 /// A pull's next step.
@@ -68,6 +70,7 @@
                 self.end(ended.pull, ended.ending == Ending::Answered);
                 self.brain.hand_off_ended(now, ended)
             }
+            News::Ending(ends) => self.brain.ends_at(now, ends),
             News::Left(pull) => {
                 self.end(pull, true);
                 self.brain.client_left(now, pull)
--- a/src/words.rs
+++ b/src/words.rs
@@ -13,6 +13,7 @@
 pub struct Span(u64);
 
 impl Time {
+    pub const NEVER: Time = Time(u64::MAX);
     pub fn at_ms(ms: f64) -> Time {
         Time((ms.max(0.0) * 1000.0).round() as u64)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -375,3 +375,15 @@
     fake.pass(130);
     assert_eq!(fake.finals.len(), 1);
 }
+
+#[test]
+fn no_pull_outlasts_the_end_of_the_process_it_was_told_of() {
+    let mut fake = Fake::new(terms(), usual());
+    fake.pull(0, 1);
+    let now = fake.now;
+    let decisions = fake.brain.ends_at(now, now + Span::from_ms(300));
+    assert_eq!(decisions.finals, []);
+    fake.pull(0, 2);
+    fake.pass(299);
+    assert_eq!(fake.finals.len(), 2, "each is answered before the end");
+}
