--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -34,15 +34,15 @@
     let mut clients: Vec<Weak<Client>> = Vec::new();
     loop {
         clients.retain(|client| client.strong_count() > 0);
-        let Some(place) = router.clients.take() else {
+        if router.clients.is_full() {
             close_longest_idle(&clients);
             sleep(PAUSE).await;
             continue;
-        };
+        }
         match listener.accept().await {
             Ok(stream) => {
                 count(Count::clients_opened);
-                clients.push(serve(&router, stream, place));
+                clients.push(serve(&router, stream));
             }
             Err(error) => {
                 count(Count::accept_errors);
@@ -61,16 +61,16 @@
     }
 }
 
-fn serve(router: &Rc<Router>, stream: TcpStream, place: Place) -> Weak<Client> {
+fn serve(router: &Rc<Router>, stream: TcpStream) -> Weak<Client> {
     let session = Session::new(stream, router.names.clone());
     let (open, quiet_since) = (Cell::new(0), Cell::new(Instant::now()));
     let client = Rc::new(Client { open, quiet_since, closer: session.closer() });
     let weak = Rc::downgrade(&client);
-    spawn_local(listen(router.clone(), session, client, place));
+    spawn_local(listen(router.clone(), session, client, router.clients.take()));
     weak
 }
 
-async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Place) {
+async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Option<Place>) {
     let mut open: BTreeMap<u32, PullId> = BTreeMap::new();
     loop {
         let heard = session.next().await;
--- a/crates/flaxdeck-dispatcher/src/transport/room.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/room.rs
@@ -46,12 +46,15 @@
         Room { taken: Rc::new(Cell::new(0)), most }
     }
     pub fn take(&self) -> Option<Place> {
-        if self.taken.get() >= self.most {
+        if self.is_full() {
             return None;
         }
         self.taken.set(self.taken.get() + 1);
         Some(Place(self.taken.clone()))
     }
+    pub fn is_full(&self) -> bool {
+        self.taken.get() >= self.most
+    }
     pub fn taken(&self) -> usize {
         self.taken.get()
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -1,7 +1,7 @@
 //! Every decision of one dispatcher. A caller makes a [`Brain`] with `start` and tells it each fact by a
 //! call: `list`, `pull`, `hand_off_ended`, `purge`, `wake`, `client_left`, `ends_at`. Each call returns
-//! [`Decisions`], applied in the order of its fields: cancels, hand-offs, final answers, next wake. An answered
-//! hand-off is its pull's final answer. The interface is `words.rs`; the reasons are in `docs/design.md`.
+//! [`Decisions`], applied in the order of its fields: cancels, hand-offs, final answers, next wake. An
+//! answered hand-off is its pull's final answer. The interface is `words.rs`; reasons: `docs/design.md`.
 
 use std::collections::{BTreeMap, BTreeSet};
 
