A cache cut off midway is blamed itself, not the source behind its fills

A host now counts as silent if it has answered nothing in the second half of the time since the overdue hand-off (LATELY); its source is looked at only if the host has. Guards as well against a cache that hangs midway and against any loss of both at once; it could blame a slow cache that has few pulls, by one penalty each.

Story: no_parent_pays_for_a_cache_that_was_cut_off_midway, fails before.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -39,6 +39,7 @@
 // Time.
 const SLACK: Span = Span::from_ms(150); // added to an expected time before it counts as overdue: far trips
 const OVERDUE: f64 = 2.0; // times the expected time: a fair share of a link halves the pace at most
+const LATELY: f64 = 0.5; // of the time since an overdue hand-off: a host quiet for the rest is silent
 const AGAIN: Span = Span::from_ms(60); // first pause after a refusal: lets short queues drain
 const MOST_DOUBLED: u32 = 4; // doublings of that pause: then it is near a second
 const COME_BACK: Span = Span::from_ms(300); // named to bounced clients: a few of the transfers in hand
@@ -108,9 +109,8 @@
     reputation: f64,
     next_trial: Time,
     heard: Time,
-    /// Latency in ms, bandwidth in KB a ms; and fills in a row in which the origin beat it by each.
-    measures: [Option<f64>; 2],
-    beaten: [u32; 2],
+    measures: [Option<f64>; 2], // latency in ms, bandwidth in KB a ms
+    beaten: [u32; 2],           // fills in a row in which the origin beat it by each
     in_hand: f64,
     others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
     window: f64, // how many hand-offs may be out at it at once, as a source or past the caches
@@ -132,9 +132,8 @@
         self.line.standing == Standing::InService && self.reputation >= FLOOR
     }
     fn praise(&mut self, now: Time, out: &Out) {
-        let slow = out.overdue.since(out.sent) * SLOW[usize::from(self.is(Role::Origin))];
         self.heard = now;
-        self.widen(now < out.sent + slow);
+        self.widen(now < out.sent + out.overdue.since(out.sent) * SLOW[usize::from(self.is(Role::Origin))]);
         self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON; // rounds no trial below the floor
     }
     // Guards against a source that all dispatchers lean on when others fail: it slows, then stops.
@@ -528,14 +527,15 @@
     }
 
     // Guards against hosts that take pulls and answer none: one that has answered nothing since the overdue
-    // hand-off went out is blamed; a slow but living one has answered others meanwhile.
+    // hand-off went out is blamed; a slow one has answered others. No source pays for a cache cut off midway.
     fn note_what_is_overdue(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get_mut(&id) else { return false };
         let fresh = |out: &&mut Out| out.silent.is_none() && out.overdue <= self.now;
         let Some(out) = held.out.iter_mut().find(fresh) else { return false };
         self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.widen(false));
-        let mute = |id: &&HostId| self.hosts.get(*id).is_some_and(|host| host.heard <= out.sent);
-        let culprit = [&out.host, &out.source].into_iter().find(mute).cloned();
+        let lately = out.sent + self.now.since(out.sent) * LATELY;
+        let mute = |(id, since)| self.hosts.get(id).filter(|host| host.heard <= since).map(|_| id.clone());
+        let culprit = [(&out.host, lately), (&out.source, out.sent)].into_iter().find_map(mute);
         out.silent = Some(culprit.is_some());
         held.tried.extend(culprit.clone());
         culprit.iter().for_each(|culprit| self.blame(culprit, PENALTY));
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -387,3 +387,35 @@
     fake.pass(299);
     assert_eq!(fake.finals.len(), 2, "each is answered before the end");
 }
+
+#[test]
+fn no_parent_pays_for_a_cache_that_was_cut_off_midway() {
+    let mut fake = Fake::new(terms(), usual());
+    let one = fake.pull(0, 1);
+    let (cache, parent) = (fake.sent[one].1.host.clone(), fake.sent[one].1.source.clone());
+    let answer_elsewhere = |fake: &mut Fake, from: usize| {
+        let elsewhere = |at: &usize| fake.sent[*at].1.host != cache;
+        let answered: Vec<usize> = (from..fake.sent.len()).filter(elsewhere).collect();
+        answered.into_iter().for_each(|at| fake.end(at, Ending::Answered, Told::Held, 0));
+        fake.sent.len()
+    };
+    for object in 2..20 {
+        fake.pull(0, object);
+    }
+    let through = |(_, sent): &&(Leg, HandOff)| sent.host == cache && sent.source == parent;
+    assert!(fake.sent.iter().filter(through).count() > 3, "enough to put the parent out, were it blamed");
+    let mut seen = answer_elsewhere(&mut fake, 1);
+    fake.pass(5);
+    fake.end(one, Ending::Answered, Told::Held, 0); // its last word
+    for _ in 0..1500 {
+        fake.pass(1);
+        seen = answer_elsewhere(&mut fake, seen);
+    }
+    let before = fake.sent.len();
+    for object in 100..140 {
+        fake.pull(0, object);
+        seen = answer_elsewhere(&mut fake, seen);
+    }
+    assert!(fake.sent[before..].iter().any(|(_, sent)| sent.source == parent), "the parent stays in use");
+    assert!(fake.sent[before..].iter().all(|(_, sent)| sent.host != cache), "the cache does not");
+}
