--- a/src/brain.rs
+++ b/src/brain.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use crate::words::{Ending::*, *};
+use crate::words::{Ending::*, Told::*, *};
 
 // Ratings (the design page's open values).
 const LARGE_KB: f64 = 1000.0; // KB; from here bandwidth decides: the page's start
@@ -331,7 +331,6 @@
 
     /// A hand-off has ended.
     pub fn hand_off_ended(&mut self, now: Time, ended: Ended) -> Decisions {
-        use Told::*;
         self.now = now;
         let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.settle(now) };
         let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.settle(now) };
@@ -371,8 +370,9 @@
             host.leave();
             let others = |pulls: f64| ((pulls - host.in_hand - 1.0).max(0.0), self.now);
             host.others = ended.in_hand.filter(|_| id == &out.host).map(others).or(host.others);
-            // Any answer, a failed fill too, shows that a host is not silent.
-            host.heard = if id == &out.host && alive { self.now } else { host.heard };
+            // Any answer, also a failed fill, shows that a host is not silent; origins speak through parents.
+            let through = host.is(Role::Origin) && ended.told == FilledThroughOrigin;
+            host.heard = if alive && (id == &out.host || through) { self.now } else { host.heard };
             if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
                 host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
                 host.next_trial = if out.trial { self.now } else { host.next_trial };
