--- a/src/brain.rs
+++ b/src/brain.rs
@@ -370,9 +370,8 @@
             host.leave();
             let others = |pulls: f64| ((pulls - host.in_hand - 1.0).max(0.0), self.now);
             host.others = ended.in_hand.filter(|_| id == &out.host).map(others).or(host.others);
-            // Any answer, also a failed fill, shows that a host is not silent; origins speak through parents.
-            let through = host.is(Role::Origin) && ended.told == FilledThroughOrigin;
-            host.heard = if alive && (id == &out.host || through) { self.now } else { host.heard };
+            // Any answer, a failed fill too, shows that a host is not silent.
+            host.heard = if id == &out.host && alive { self.now } else { host.heard };
             if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
                 host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
                 host.next_trial = if out.trial { self.now } else { host.next_trial };
