--- a/crates/flaxdeck-dispatcher/src/program/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/program/mod.rs
@@ -29,7 +29,9 @@
     logger::start();
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| format!("no runtime: {error}"))?;
-    LocalSet::new().block_on(&runtime, serve())
+    let ended = LocalSet::new().block_on(&runtime, serve());
+    log::logger().flush();
+    ended
 }
 
 async fn serve() -> Result<(), String> {
--- a/crates/flaxdeck-dispatcher/src/transport/tally.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/tally.rs
@@ -38,6 +38,7 @@
     feed_events,
     feed_gaps,
     accept_errors,
+    log_lines_lost,
     must_not_happen,
 );
 
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -19,6 +19,7 @@
 /// A dispatcher among caches, a parent, the origin and a coordinator.
 struct World {
     process: Child,
+    config: String,
     address: SocketAddr,
     caches: Vec<Host>,
     parent: Host,
@@ -36,6 +37,11 @@
     command
 }
 
+/// The address that a line of the log tells.
+fn listening(line: &str) -> Option<SocketAddr> {
+    line.split("listening at ").nth(1)?.split(',').next()?.parse().ok()
+}
+
 impl World {
     fn start(caches: u32) -> World {
         World::with(caches, |_| {})
@@ -57,13 +63,12 @@
         config["coordinator"] = coordinator.address.to_string().into();
         config["known"]["updates"][0]["endpoints"]["hosts"] = hosts.into();
         change(&mut config);
-        let mut process = command(&config.to_string()).spawn().unwrap();
+        let config = config.to_string();
+        let mut process = command(&config).spawn().unwrap();
         let mut lines = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let line = lines.find(|line| line.contains("listening at ")).unwrap();
-        let address = line.split("listening at ").nth(1).unwrap().split(',').next().unwrap();
-        let address = address.parse().unwrap();
+        let address = lines.find_map(|line| listening(&line)).unwrap();
         thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
-        World { process, address, caches, parent, origin, coordinator }
+        World { process, config, address, caches, parent, origin, coordinator }
     }
 
     fn client(&self) -> Client {
@@ -396,6 +401,24 @@
     assert!((10..20).contains(&bounced.count()));
 }
 
+#[test]
+fn a_log_that_nobody_reads_holds_up_no_pull() {
+    let mut world = World::start(1);
+    let mut unread = command(&world.config).spawn().unwrap();
+    let mut lines = BufReader::new(unread.stderr.take().unwrap());
+    let mut first = String::new();
+    lines.read_line(&mut first).unwrap();
+    std::mem::swap(&mut world.process, &mut unread);
+    unread.kill().unwrap();
+    unread.wait().unwrap();
+    world.address = listening(&first).unwrap();
+    let mut client = world.client();
+    for _ in 0..1000 {
+        client.pull("page", KEY, 2400, b"").unwrap();
+        assert!(finished(&client.answer().unwrap(), KEY), "each writes two lines to a pipe that holds few");
+    }
+}
+
 #[test]
 fn a_bad_start_says_why_in_one_line() {
     let fails = |mut command: Command, why: &str| {
