--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -467,3 +467,44 @@
     config["listen"] = taken.local_addr().unwrap().to_string().into();
     fails(command(&config.to_string()), "cannot listen");
 }
+
+#[test]
+fn whatever_hosts_do_each_pull_gets_one_answer_in_time_and_no_write_runs_twice() {
+    let world = World::start(2);
+    let manners = [
+        Manner::Serve,
+        Manner::Late(30),
+        Manner::Say("full"),
+        Manner::Say("failed"),
+        Manner::Say("absent"),
+        Manner::Say("moot"),
+        Manner::Break,
+        Manner::BreakInAnswer,
+        Manner::Silent,
+        Manner::Garble,
+    ];
+    for round in 0..20usize {
+        let manner = |at: usize| manners[(round * 7 + at * 3 + round / 10) % manners.len()];
+        world.hosts().enumerate().for_each(|(at, host)| host.set(manner(at)));
+        let mut client = world.client();
+        let start = Instant::now();
+        let mut calls: Vec<u32> = Vec::new();
+        for n in 0..8 {
+            let (class, body) = if n == 7 { ("submit", &b"a form"[..]) } else { ("page", &b""[..]) };
+            calls.push(client.pull(class, &key(round as u32 * 8 + n), 400, body).unwrap());
+        }
+        for _ in 0..8 {
+            let call = match client.answer().unwrap() {
+                Answer::Served { call, .. } | Answer::Error { call, .. } | Answer::Alive { call } => call,
+            };
+            let at = calls.iter().position(|open| *open == call).expect("an answer to what is open");
+            calls.remove(at);
+        }
+        assert!(start.elapsed() < Duration::from_millis(1400), "round {round}: {:?}", start.elapsed());
+        assert!(client.quiet_for(Duration::from_millis(20)));
+        let write = format!("class=submit,key={}", key(round as u32 * 8 + 7));
+        let runs = world.origin.heard("want").iter().filter(|(line, _)| line.contains(&write)).count();
+        let proof = matches!(manner(3), Manner::Say("full" | "absent" | "moot"));
+        assert!(proof || runs <= 1, "round {round}: sent {runs} times to an origin that may have run it");
+    }
+}
