--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -27,6 +27,7 @@
 const FENCED: Duration = Duration::from_secs(1);
 
 struct Conn {
+    address: SocketAddr,
     inbound: Inbound,
     outbound: Outbound,
     used: Instant,
@@ -178,7 +179,7 @@
         match timeout(self.connect_within.min(length(waits)), link::connect(address)).await {
             Ok(Ok((inbound, outbound))) => {
                 count(Count::hosts_connected);
-                Ok(Conn { inbound, outbound, used: Instant::now(), _place: place })
+                Ok(Conn { address, inbound, outbound, used: Instant::now(), _place: place })
             }
             Ok(Err(error)) => {
                 count(Count::hosts_refused);
@@ -206,7 +207,9 @@
 
     fn keep(&self, host: &HostId, mut conn: Conn) {
         conn.used = Instant::now();
-        if let Some(kept) = self.kept.borrow_mut().get_mut(host) {
+        let mut kept = self.kept.borrow_mut();
+        // The host may have moved while the connection was out.
+        if let Some(kept) = kept.get_mut(host).filter(|kept| kept.address == conn.address) {
             kept.idle.push(conn);
         }
     }
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -375,6 +375,19 @@
     assert!(told.elapsed() < Duration::from_millis(3700));
 }
 
+#[test]
+fn a_planned_end_with_a_hand_off_still_out_ends_well() {
+    let mut world = World::with(1, |config| config["settings"]["allowed"]["cancel"] = false.into());
+    world.caches[0].set(Manner::Silent);
+    let mut client = world.client();
+    let call = client.pull("clip", KEY, 30_000, b"").unwrap();
+    wait_for("handed off", || !world.caches[0].heard("want").is_empty());
+    client.cancel(call).unwrap();
+    assert!(client.quiet_for(Duration::from_millis(100)));
+    world.terminate();
+    assert!(world.process.wait().unwrap().success());
+}
+
 #[test]
 fn clients_past_their_third_of_the_descriptors_cost_the_longest_idle_its_connection() {
     let world = World::with(1, |config| config["limits"]["sockets"] = 60.into());
