--- a/src/words.rs
+++ b/src/words.rs
@@ -87,7 +87,7 @@
 /// The number of a hand-off within its pull, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Leg(pub u32);
-/// A host's address, the same at every dispatcher.
+/// What names a host, the same at every dispatcher; its address need not be.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HostId(pub Rc<str>);
 
