A client whose pulls are all answered counts as idle, so its connection can make room

Seen by reading: a connection's open pulls were counted when the client spoke, so one that had pulled once never counted as idle, and past the clients' third nothing but fresh connections could be closed. Fault: routing/clients.rs, client.open set in listen only. Now the table of pulls is asked, and a connection with answers still to be written is left alone. The story of the clients' third lets each client pull first, and failed before.

--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -63,6 +63,11 @@
     pub fn close(&self) {
         self.0.close();
     }
+
+    /// Answers that the client has not taken yet.
+    pub fn unread(&self) -> usize {
+        self.0.waiting()
+    }
 }
 
 impl Session {
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -1,6 +1,6 @@
 //! Client connections: a task each, and how many there may be.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -24,7 +24,8 @@
 
 /// What the accepting side knows of a connection.
 struct Client {
-    open: Cell<usize>,
+    /// Its pulls by their numbers, also some that have their answers since it last spoke.
+    pulls: RefCell<BTreeMap<u32, PullId>>,
     quiet_since: Cell<Instant>,
     closer: Closer,
 }
@@ -35,7 +36,7 @@
     loop {
         clients.retain(|client| client.strong_count() > 0);
         if router.clients.is_full() {
-            close_longest_idle(&clients);
+            router.close_longest_idle(&clients);
             sleep(PAUSE).await;
             continue;
         }
@@ -53,50 +54,63 @@
     }
 }
 
-fn close_longest_idle(clients: &[Weak<Client>]) {
-    let idle = clients.iter().filter_map(Weak::upgrade).filter(|client| client.open.get() == 0);
-    if let Some(client) = idle.min_by_key(|client| client.quiet_since.get()) {
-        count(Count::clients_closed_idle);
-        client.closer.close();
+impl Router {
+    fn close_longest_idle(&self, clients: &[Weak<Client>]) {
+        let answered = |client: &Rc<Client>| client.pulls.borrow().values().all(|pull| !self.is_open(*pull));
+        let idle = |client: &Rc<Client>| answered(client) && client.closer.unread() == 0;
+        let clients = clients.iter().filter_map(Weak::upgrade).filter(idle);
+        if let Some(client) = clients.min_by_key(|client| client.quiet_since.get()) {
+            count(Count::clients_closed_idle);
+            client.closer.close();
+        }
     }
 }
 
 fn serve(router: &Rc<Router>, stream: TcpStream) -> Weak<Client> {
     let session = Session::new(stream, router.names.clone());
-    let (open, quiet_since) = (Cell::new(0), Cell::new(Instant::now()));
-    let client = Rc::new(Client { open, quiet_since, closer: session.closer() });
+    let (pulls, quiet_since) = (RefCell::default(), Cell::new(Instant::now()));
+    let client = Rc::new(Client { pulls, quiet_since, closer: session.closer() });
     let weak = Rc::downgrade(&client);
     spawn_local(listen(router.clone(), session, client, router.clients.take()));
     weak
 }
 
 async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Option<Place>) {
-    let mut open: BTreeMap<u32, PullId> = BTreeMap::new();
     loop {
         let heard = session.next().await;
-        open.retain(|_, pull| router.is_open(*pull));
-        client.quiet_since.set(Instant::now());
+        if !client.hear(&router, &session, heard) {
+            break;
+        }
+        yield_now().await; // one client that sends without end leaves the others their turns
+    }
+    client.pulls.take().into_values().for_each(|pull| router.leave(pull));
+}
+
+impl Client {
+    /// Acts on what the client said; false once its connection is of no more use.
+    fn hear(&self, router: &Rc<Router>, session: &Session, heard: Heard) -> bool {
+        let mut pulls = self.pulls.borrow_mut();
+        pulls.retain(|_, pull| router.is_open(*pull));
+        self.quiet_since.set(Instant::now());
         match heard {
+            Heard::Pull { call, .. } if pulls.contains_key(&call) => {
+                count(Count::clients_malformed);
+                log::debug!("a client's connection is closed: two pulls of one number");
+                return false;
+            }
             Heard::Pull { call, asked } => {
-                if open.contains_key(&call) {
-                    count(Count::clients_malformed);
-                    log::debug!("a client's connection is closed: two pulls of one number");
-                    break;
-                }
-                let slot = router.slots.take().filter(|_| open.len() + session.unread() < OPEN_MOST);
+                let slot = router.slots.take().filter(|_| pulls.len() + session.unread() < OPEN_MOST);
                 let reply = session.reply(call, slot);
                 if reply.has_place() {
-                    open.insert(call, router.take(asked, reply));
+                    pulls.insert(call, router.take(asked, reply));
                 } else {
                     count(Count::pulls_no_room);
                     reply.send(Answer::Bounced(None));
                 }
             }
-            Heard::Cancel { call } => open.remove(&call).into_iter().for_each(|pull| router.leave(pull)),
-            Heard::Over => break,
+            Heard::Cancel { call } => pulls.remove(&call).into_iter().for_each(|pull| router.leave(pull)),
+            Heard::Over => return false,
         }
-        client.open.set(open.len());
-        yield_now().await; // one client that sends without end leaves the others their turns
+        true
     }
-    open.into_values().for_each(|pull| router.leave(pull));
 }
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -391,10 +391,13 @@
 #[test]
 fn clients_past_their_third_of_the_descriptors_cost_the_longest_idle_its_connection() {
     let world = World::with(1, |config| config["limits"]["sockets"] = 60.into());
-    let mut clients: Vec<Client> = (0..50).map(|_| world.client()).collect();
-    let last = clients.last_mut().unwrap();
-    last.pull("page", KEY, 2400, b"").unwrap();
-    assert!(finished(&last.answer().unwrap(), KEY));
+    let mut clients: Vec<Client> = Vec::new();
+    for n in 0..50 {
+        let mut client = world.client();
+        client.pull("page", &key(n), 2400, b"").unwrap();
+        assert!(finished(&client.answer().unwrap(), &key(n)));
+        clients.push(client);
+    }
     assert!(clients[0].ended());
 }
 
