--- a/src/facade.rs
+++ b/src/facade.rs
@@ -114,33 +114,34 @@
         }
     }
 
+    /// Puts each decision in its pull's line; gives the pulls that have a step to pick.
     fn sort(&mut self, decisions: Decisions) -> Vec<PullId> {
         let Decisions { cancels, hand_offs, finals, wake } = decisions;
         let mut named = Vec::new();
-        let mut add = |pull: PullId, step: &mut dyn FnMut(&mut Line) -> Step| {
-            if let Some(line) = self.lines.get_mut(&pull) {
-                let step = step(line);
-                line.steps.push_back(step);
-                named.push(pull);
-            }
-        };
         for cancel in cancels {
-            add(cancel.pull, &mut |_| Step::TakeBack(cancel.leg));
+            named.extend(self.add(cancel.pull, |_| Step::TakeBack(cancel.leg)));
         }
         for hand_off in hand_offs {
-            add(hand_off.pull, &mut |line| {
+            named.extend(self.add(hand_off.pull, |line| {
                 line.legs += 1;
-                Step::HandOff(Leg(line.legs - 1), hand_off.clone())
-            });
+                Step::HandOff(Leg(line.legs - 1), hand_off)
+            }));
         }
         for last in finals {
-            match last {
-                Final::Bounced { pull, come_back } => add(pull, &mut |_| Step::Bounce(come_back)),
-                Final::Forfeited { pull } => add(pull, &mut |_| Step::Forfeit),
-            }
+            named.extend(match last {
+                Final::Bounced { pull, come_back } => self.add(pull, |_| Step::Bounce(come_back)),
+                Final::Forfeited { pull } => self.add(pull, |_| Step::Forfeit),
+            });
         }
         self.due.extend(wake);
         named.dedup();
         named
     }
+
+    fn add(&mut self, pull: PullId, step: impl FnOnce(&mut Line) -> Step) -> Option<PullId> {
+        let line = self.lines.get_mut(&pull)?;
+        let step = step(line);
+        line.steps.push_back(step);
+        Some(pull)
+    }
 }
