Reread of the network code: doubled and dead pieces folded, behaviour as before

One big_endian for frames and MessagePack; a reader over one value in place of two rewinds; a request is drafted once, not in two enums of the same cases; an error answer has its own writer, so routing knows no Invalid; an empty frame is no event; the unused byte count of Parsed and two unused functions go (the tests check what is left in the buffer instead). Places in a load report are found at start again, not by name at every answer, and a request's line is written without strings between.

--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -227,8 +227,8 @@
             closed: fields.flag_or_false("no_more")?,
             told: told(fields.whole_or_none("detail")?.unwrap_or(0)),
             waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
-            link: value(self.names.link_at()),
-            in_hand: value(self.names.in_hand_at()),
+            link: value(self.names.link_at),
+            in_hand: value(self.names.in_hand_at),
         })
     }
 }
--- a/crates/flaxdeck-dispatcher/src/protocol/feed.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/feed.rs
@@ -50,15 +50,15 @@
                 continue;
             };
             match frames::parse(&mut inbound.bytes, &self.names) {
-                Ok(Parsed::Whole((_, Event::Nothing), _)) => {}
-                Ok(Parsed::Whole((index, _), _)) if index <= self.last => {} // seen before
-                Ok(Parsed::Whole((index, _), _)) if index > self.last + 1 && !self.new => {
+                Ok(Parsed::Whole((_, None))) => {}
+                Ok(Parsed::Whole((index, _))) if index <= self.last => {} // seen before
+                Ok(Parsed::Whole((index, _))) if index > self.last + 1 && !self.new => {
                     count(Count::feed_gaps);
                     log::warn!("event {index} follows {}: asking again", self.last);
                     self.link = None;
                 }
                 // A gap right after asking is all that the coordinator has.
-                Ok(Parsed::Whole((index, event), _)) => {
+                Ok(Parsed::Whole((index, Some(event)))) => {
                     (self.last, self.new) = (index, false);
                     count(Count::feed_events);
                     return event;
--- a/crates/flaxdeck-dispatcher/src/protocol/frames.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/frames.rs
@@ -8,7 +8,7 @@
 use flaxdeck_terms::fields::Fields;
 use serde_json::Value;
 
-use super::{Malformed, Parsed};
+use super::{Malformed, Parsed, big_endian};
 
 /// Bytes of one frame: a list of some 37,000 hosts, over a hundred times the largest fleet foreseen.
 const FRAME_MOST: usize = 1 << 20;
@@ -19,7 +19,6 @@
 /// What a numbered event tells.
 #[derive(Debug)]
 pub enum Event {
-    Nothing,
     Hosts(Coverage, Vec<Station>),
     Purged { object: Option<ObjectId>, group: GroupId, made: Time },
 }
@@ -31,20 +30,16 @@
     pub address: SocketAddr,
 }
 
-fn number(bytes: &[u8]) -> u64 {
-    bytes.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
-}
-
 fn started(unix_ms: f64) -> Option<Time> {
     Some(unix_ms).filter(|ms| *ms > 0.0).map(Time::at_ms)
 }
 
-/// Parses one frame at the head of the buffer and takes its bytes out.
-pub fn parse(buffer: &mut BytesMut, names: &Names) -> Result<Parsed<(u64, Event)>, Malformed> {
+/// Parses one frame at the head of the buffer and takes its bytes out; an empty one holds no event.
+pub fn parse(buffer: &mut BytesMut, names: &Names) -> Result<Parsed<(u64, Option<Event>)>, Malformed> {
     if buffer.len() < 4 {
         return Ok(Parsed::Short(4 - buffer.len()));
     }
-    let length = number(&buffer[..4]) as usize;
+    let length = big_endian(&buffer[..4]) as usize;
     if !(FIXED..=FRAME_MOST).contains(&length) {
         return Err(Malformed("a frame's length is out of bounds"));
     }
@@ -53,9 +48,9 @@
         return Ok(Parsed::Short(used - buffer.len()));
     }
     let frame = buffer.split_to(used);
-    let (index, payload) = (number(&frame[4..12]), &frame[4 + FIXED..]);
+    let (index, payload) = (big_endian(&frame[4..12]), &frame[4 + FIXED..]);
     let event = match frame[12] {
-        0 => Event::Nothing,
+        0 => return Ok(Parsed::Whole((index, None))),
         kind @ (1 | 2) => {
             if !payload.len().is_multiple_of(RECORD) {
                 return Err(Malformed("a list that is not made of records"));
@@ -69,7 +64,8 @@
             if payload.len() != named + 8 {
                 return Err(Malformed("a purge of the wrong length"));
             }
-            let (name, made) = (number(&payload[..named]), Time::at_ms(number(&payload[named..]) as f64));
+            let (name, made) =
+                (big_endian(&payload[..named]), Time::at_ms(big_endian(&payload[named..]) as f64));
             match kind {
                 3 => Event::Purged { object: Some(ObjectId(name)), group: GroupId(0), made },
                 _ => Event::Purged { object: None, group: GroupId(name), made },
@@ -77,7 +73,7 @@
         }
         _ => return Err(Malformed("a frame of no known kind")),
     };
-    Ok(Parsed::Whole((index, event), used))
+    Ok(Parsed::Whole((index, Some(event))))
 }
 
 fn record(row: &[u8], names: &Names) -> Result<Station, Malformed> {
@@ -91,15 +87,15 @@
     let address = Ipv4Addr::new(row[4], row[5], row[6], row[7]);
     Ok(Station {
         listed: Listed {
-            host: HostId(format!("s-{:08x}", number(&row[..4])).into()),
-            weight: number(&row[15..19]) as f64 / 1000.0,
+            host: HostId(format!("s-{:08x}", big_endian(&row[..4])).into()),
+            weight: big_endian(&row[15..19]) as f64 / 1000.0,
             zone: zone.map(ZoneId),
-            cell: CellId(number(&row[13..15])),
+            cell: CellId(big_endian(&row[13..15])),
             role: names.role(Some(usize::from(row[12]))),
             standing,
-            started: started(number(&row[19..27]) as f64),
+            started: started(big_endian(&row[19..27]) as f64),
         },
-        address: SocketAddr::from((address, number(&row[8..10]) as u16)),
+        address: SocketAddr::from((address, big_endian(&row[8..10]) as u16)),
     })
 }
 
@@ -177,12 +173,16 @@
         let (mut buffer, mut events) = (BytesMut::new(), Vec::new());
         for byte in frames.concat() {
             buffer.extend_from_slice(&[byte]);
-            if let Parsed::Whole(event, _) = parse(&mut buffer, &names()).unwrap() {
+            if let Parsed::Whole(event) = parse(&mut buffer, &names()).unwrap() {
                 events.push(event);
             }
         }
-        let [(4, Event::Nothing), (5, Event::Hosts(Coverage::Changes, hosts)), (6, purge), (7, group)] =
-            &events[..]
+        let [
+            (4, None),
+            (5, Some(Event::Hosts(Coverage::Changes, hosts))),
+            (6, Some(purge)),
+            (7, Some(group)),
+        ] = &events[..]
         else {
             panic!("{events:?}")
         };
--- a/crates/flaxdeck-dispatcher/src/protocol/lines.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/lines.rs
@@ -1,8 +1,11 @@
 //! The line protocol of cache hosts, parents and the origin.
 
+use std::borrow::Cow;
+use std::fmt::{Arguments, Write};
+
 use bytes::{BufMut, Bytes, BytesMut};
 use flaxdeck::words::*;
-use flaxdeck_terms::{Names, told};
+use flaxdeck_terms::{Names, place, told};
 
 use super::{Asked, Malformed, Outcome, Parsed};
 use crate::transport::room::OBJECT_MOST;
@@ -28,33 +31,35 @@
     (span.ms() as u64).max(1)
 }
 
+fn text(bytes: &Bytes) -> Cow<'_, str> {
+    String::from_utf8_lossy(bytes)
+}
+
 /// The pieces of a request. All fields are written here, from typed values.
 pub fn want(asked: &Asked, wish: &Wish) -> [Bytes; 3] {
     let mut out = BytesMut::with_capacity(256);
-    let mut put = |text: &str| out.put_slice(text.as_bytes());
-    let text = |bytes: &Bytes| String::from_utf8_lossy(bytes).into_owned();
-    put("want ");
-    put(&text(&asked.id));
-    put(&format!(" class={},key={},part={}", wish.class, text(&asked.key), asked.part));
-    put(&format!(",wait={}", whole_ms(wish.waits)));
+    let mut put = |words: Arguments| out.write_fmt(words).expect("a buffer grows");
+    put(format_args!("want {} class={}", text(&asked.id), wish.class));
+    put(format_args!(",key={},part={}", text(&asked.key), asked.part));
+    put(format_args!(",wait={}", whole_ms(wish.waits)));
     if let Some(source) = wish.source {
-        put(&format!(",fetch={}", source.0));
+        put(format_args!(",fetch={}", source.0));
     }
     if wish.keep > 0 {
-        put(&format!(",retain={}", wish.keep));
+        put(format_args!(",retain={}", wish.keep));
     }
     if let Some(oldest) = wish.oldest {
-        put(&format!(",newer={}", whole_ms(oldest)));
+        put(format_args!(",newer={}", whole_ms(oldest)));
     }
     let how = [(wish.join, "merge"), (wish.only_held, "local"), (wish.renew, "revalidate")];
     let how: Vec<&str> = how.into_iter().filter(|(is, _)| *is).map(|(_, word)| word).collect();
     if !how.is_empty() {
-        put(&format!(",handle={}", how.join("+")));
+        put(format_args!(",handle={}", how.join("+")));
     }
     if let Some(holds) = &asked.holds {
-        put(&format!(",holds={}", text(holds)));
+        put(format_args!(",holds={}", text(holds)));
     }
-    put(&format!(" {}\r\n", asked.body.len()));
+    put(format_args!(" {}\r\n", asked.body.len()));
     [out.freeze(), asked.body.clone(), Bytes::from_static(b"\r\n")]
 }
 
@@ -89,6 +94,7 @@
     let mut words = head.split(' ');
     let mut word = || words.next().filter(|word| !word.is_empty()).ok_or(Malformed("a word is missing"));
     let (id, ending) = (word()?, word()?);
+    let sign = id.as_bytes() == FENCE;
     let (ending, unchanged) = match ending {
         "data" => (Ending::Answered, false),
         "unchanged" => (Ending::Answered, true),
@@ -97,13 +103,12 @@
         "failed" => (Ending::Errored, false),
         "moot" => (Ending::NotSent, false),
         // Whatever the sign says, it shows that the host has read what came before it.
-        _ if id.as_bytes() == FENCE => (Ending::NotSent, false),
+        _ if sign => (Ending::NotSent, false),
         _ => return Err(Malformed("an unknown answer")),
     };
-    let sign = id.as_bytes() == FENCE;
     if sign && head.split(' ').count() == 2 {
         let _ = buffer.split_to(end + 2);
-        return Ok(Parsed::Whole(Line { id: None, outcome: Outcome::bare(ending) }, end + 2));
+        return Ok(Parsed::Whole(Line { id: None, outcome: Outcome::bare(ending) }));
     }
     let fields = word()?;
     let length: usize = word()?.parse().map_err(|_| Malformed("a length is no number"))?;
@@ -120,7 +125,7 @@
     }
     let message = buffer.split_to(used).freeze();
     outcome.body = message.slice(start..start + length);
-    Ok(Parsed::Whole(Line { id: Some(message.slice(..id)).filter(|_| !sign), outcome }, used))
+    Ok(Parsed::Whole(Line { id: Some(message.slice(..id)).filter(|_| !sign), outcome }))
 }
 
 fn note(word: &str) -> Told {
@@ -149,11 +154,11 @@
             "took" => outcome.waited = number(value).map(Span::of_ms),
             "stats" => {
                 for (name, value) in value.split(';').filter_map(|value| value.split_once(':')) {
-                    let is = |at: Option<usize>| at.is_some_and(|at| names.report[at] == name);
-                    if is(names.link_at()) {
-                        outcome.link = number(value);
-                    } else if is(names.in_hand_at()) {
-                        outcome.in_hand = number(value);
+                    match place(&names.report, name) {
+                        None => {}
+                        at if at == names.link_at => outcome.link = number(value),
+                        at if at == names.in_hand_at => outcome.in_hand = number(value),
+                        Some(_) => {}
                     }
                 }
             }
@@ -220,7 +225,7 @@
         }
         buffer.put_slice(b"fence well - 0\r\n\r\n");
         buffer.put_slice(b"fence well\r\n");
-        let Ok(Parsed::Whole(line, _)) = parse(&mut buffer, &names()) else { panic!("it is whole") };
+        let Ok(Parsed::Whole(line)) = parse(&mut buffer, &names()) else { panic!("it is whole") };
         assert_eq!(line.id.as_deref(), Some(&b"9b1f03aa5c7e2d41"[..]));
         let outcome = line.outcome;
         assert_eq!((outcome.ending, outcome.told), (Ending::Answered, Told::FilledThroughOrigin));
@@ -228,7 +233,7 @@
         assert_eq!((outcome.waited, outcome.link), (Some(Span::of_ms(85.8)), Some(1.25)));
         assert_eq!((outcome.in_hand, outcome.unchanged), (Some(7.0), false));
         for _ in 0..2 {
-            assert!(matches!(parse(&mut buffer, &names()), Ok(Parsed::Whole(Line { id: None, .. }, _))));
+            assert!(matches!(parse(&mut buffer, &names()), Ok(Parsed::Whole(Line { id: None, .. }))));
         }
         assert!(buffer.is_empty());
     }
@@ -245,7 +250,7 @@
         ];
         for (word, note, ending, told) in rows {
             let mut buffer = BytesMut::from(&*format!("1 {word} how={} 0\r\n\r\n", note.replace(' ', "_")));
-            let Ok(Parsed::Whole(line, _)) = parse(&mut buffer, &names()) else { panic!("{word} is whole") };
+            let Ok(Parsed::Whole(line)) = parse(&mut buffer, &names()) else { panic!("{word} is whole") };
             assert_eq!((line.outcome.ending, line.outcome.told), (ending, told));
             assert_eq!(line.outcome.unchanged, word == "unchanged");
         }
--- a/crates/flaxdeck-dispatcher/src/protocol/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/mod.rs
@@ -18,8 +18,8 @@
 /// What a parser makes of bytes that came in so far.
 #[derive(Debug, PartialEq)]
 pub enum Parsed<T> {
-    /// A whole message, and how many bytes it took.
-    Whole(T, usize),
+    /// A whole message; its bytes are taken out of the buffer.
+    Whole(T),
     /// At least so many bytes more are needed.
     Short(usize),
 }
@@ -28,6 +28,10 @@
 #[derive(Debug, PartialEq)]
 pub struct Malformed(pub &'static str);
 
+fn big_endian(bytes: &[u8]) -> u64 {
+    bytes.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte))
+}
+
 /// A client's pull, as it was asked. Texts are slices of the bytes that came in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Asked {
@@ -54,8 +58,6 @@
     Unchanged,
     Bounced(Option<Span>),
     Forfeited,
-    /// The pull makes no sense, so that it can never be finished.
-    Invalid(&'static str),
 }
 
 /// How a hand-off ended, with all that its answer tells.
--- a/crates/flaxdeck-dispatcher/src/protocol/msgpack.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/msgpack.rs
@@ -2,7 +2,7 @@
 
 use bytes::{BufMut, BytesMut};
 
-use super::Malformed;
+use super::big_endian;
 
 /// Why a value could not be read.
 #[derive(Debug, PartialEq)]
@@ -12,12 +12,6 @@
     Bad(&'static str),
 }
 
-impl From<Malformed> for Stop {
-    fn from(bad: Malformed) -> Stop {
-        Stop::Bad(bad.0)
-    }
-}
-
 type Read<T> = Result<T, Stop>;
 
 /// Arrays and maps nested deeper than this are no message of the protocol.
@@ -33,7 +27,7 @@
         Reader { bytes, at: 0 }
     }
 
-    pub fn take(&mut self, count: usize) -> Read<&'a [u8]> {
+    fn take(&mut self, count: usize) -> Read<&'a [u8]> {
         let left = self.bytes.len() - self.at;
         if left < count {
             return Err(Stop::Short(count - left));
@@ -49,7 +43,7 @@
 
     /// A big-endian number of so many bytes, at most 8.
     fn number(&mut self, bytes: usize) -> Read<u64> {
-        Ok(self.take(bytes)?.iter().fold(0, |sum, byte| sum << 8 | u64::from(*byte)))
+        self.take(bytes).map(big_endian)
     }
 
     fn length(&mut self, bytes: usize, most: usize) -> Read<usize> {
@@ -109,6 +103,13 @@
         self.take(length)
     }
 
+    /// Passes over one value of any type; gives a reader that stands before it and ends with it.
+    pub fn value(&mut self, most: usize) -> Read<Reader<'a>> {
+        let at = self.at;
+        self.skip(most)?;
+        Ok(Reader { bytes: &self.bytes[..self.at], at })
+    }
+
     /// Passes over one value of any type.
     pub fn skip(&mut self, most: usize) -> Read<()> {
         self.skip_at(most, DEPTH)
--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -39,7 +39,7 @@
     async fn line(&mut self, names: &Names) -> Option<Line> {
         loop {
             match lines::parse(&mut self.inbound.bytes, names) {
-                Ok(Parsed::Whole(line, _)) => return Some(line),
+                Ok(Parsed::Whole(line)) => return Some(line),
                 Ok(Parsed::Short(more)) => {
                     let enough = self.inbound.bytes.len() + more;
                     while self.inbound.bytes.len() < enough {
--- a/crates/flaxdeck-dispatcher/src/protocol/rpc.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/rpc.rs
@@ -42,18 +42,10 @@
     Nothing,
 }
 
-/// A message with its texts as places in the bytes it was parsed from.
-struct Draft {
-    call: u32,
-    kind: Kind,
-}
-
-enum Kind {
-    Pull(PullDraft),
-    Alive,
-    Cancel,
-    Invalid(&'static str),
-    Nothing,
+/// A message; a pull's texts are still places in the bytes it was parsed from.
+enum Draft {
+    Pull(u32, PullDraft),
+    Done(Said),
 }
 
 #[derive(Default)]
@@ -82,18 +74,13 @@
     };
     let used = reader.at;
     let message = buffer.split_to(used).freeze();
-    let call = draft.call;
-    let said = match draft.kind {
-        Kind::Pull(draft) => match asked(&message, draft) {
+    Ok(Parsed::Whole(match draft {
+        Draft::Pull(call, draft) => match asked(&message, draft) {
             Ok(asked) => Said::Pull { call, asked },
             Err(why) => Said::Invalid { call, why },
         },
-        Kind::Alive => Said::Alive { call },
-        Kind::Cancel => Said::Cancel { call },
-        Kind::Invalid(why) => Said::Invalid { call, why },
-        Kind::Nothing => Said::Nothing,
-    };
-    Ok(Parsed::Whole(said, used))
+        Draft::Done(said) => said,
+    }))
 }
 
 fn call_number(reader: &mut Reader) -> Result<u32, Stop> {
@@ -105,46 +92,39 @@
         (4, 0) => {
             let call = call_number(reader)?;
             let method = reader.text(FIELD_MOST)?;
-            let kind = match names.workload(method) {
-                Some(WorkloadId(workload)) => pull(reader, workload)?,
+            match names.workload(method) {
+                Some(WorkloadId(workload)) => pull(reader, call, workload),
                 None => {
                     reader.skip(MESSAGE_MOST)?;
-                    if method == "alive" { Kind::Alive } else { Kind::Invalid("no such method") }
+                    let why = "no such method";
+                    let alive = method == "alive";
+                    Ok(Draft::Done(if alive { Said::Alive { call } } else { Said::Invalid { call, why } }))
                 }
-            };
-            Ok(Draft { call, kind })
+            }
         }
         (3, 2) => {
             let method = reader.text(FIELD_MOST)?;
-            let start = reader.at;
-            reader.skip(MESSAGE_MOST)?;
-            let end = reader.at;
+            let mut parameters = reader.value(MESSAGE_MOST)?;
             if method != "cancelRequest" {
-                return Ok(Draft { call: 0, kind: Kind::Nothing });
+                return Ok(Draft::Done(Said::Nothing));
             }
-            reader.at = start;
-            let call = if reader.array()? > 0 { call_number(reader)? } else { 0 };
-            reader.at = end;
-            Ok(Draft { call, kind: Kind::Cancel })
+            let call = if parameters.array()? > 0 { call_number(&mut parameters)? } else { 0 };
+            Ok(Draft::Done(Said::Cancel { call }))
         }
         _ => Err(Stop::Bad("neither a request nor a notification")),
     }
 }
 
 // What can be read as MessagePack but is no pull gets an answer, so the reader must stand behind it.
-fn pull(reader: &mut Reader, workload: usize) -> Result<Kind, Stop> {
-    let start = reader.at;
-    reader.skip(MESSAGE_MOST)?;
-    let end = reader.at;
-    reader.at = start;
-    let kind = match fields(reader, workload) {
-        Ok(draft) if reader.at == end => Kind::Pull(draft),
-        Ok(_) => Kind::Invalid("parameters left over"),
-        Err(Stop::Bad(why)) => Kind::Invalid(why),
-        Err(short) => return Err(short),
-    };
-    reader.at = end;
-    Ok(kind)
+fn pull(reader: &mut Reader, call: u32, workload: usize) -> Result<Draft, Stop> {
+    let mut parameters = reader.value(MESSAGE_MOST)?;
+    let invalid = |why| Ok(Draft::Done(Said::Invalid { call, why }));
+    match fields(&mut parameters, workload) {
+        Ok(draft) if parameters.at == reader.at => Ok(Draft::Pull(call, draft)),
+        Ok(_) => invalid("parameters left over"),
+        Err(Stop::Bad(why)) => invalid(why),
+        Err(short) => Err(short),
+    }
 }
 
 fn fields(reader: &mut Reader, workload: usize) -> Result<PullDraft, Stop> {
@@ -230,35 +210,37 @@
 
 /// The pieces of an answer; the body goes on uncopied.
 pub fn answer(call: u32, answer: Answer) -> [Bytes; 3] {
-    let mut out = head(call);
-    let failed = |mut out: BytesMut, word: &str, after: Option<Span>| {
-        out.put_u8(0x92);
-        put_text(&mut out, word);
-        match after {
-            Some(after) => field(&mut out, "after", &format!("{}", after.ms().ceil() as u64)),
-            None => out.put_u8(NO_FIELDS),
-        }
-        out.put_u8(NIL);
-        [out.freeze(), Bytes::new(), Bytes::new()]
+    let result = |bytes| {
+        let mut out = head(call);
+        out.put_slice(&[NIL, 0x92]);
+        put_binary_head(&mut out, bytes);
+        out
     };
     match answer {
-        Answer::Finished(body) => {
-            out.put_slice(&[NIL, 0x92]);
-            put_binary_head(&mut out, body.len());
-            [out.freeze(), body, Bytes::from_static(&[NO_FIELDS])]
-        }
+        Answer::Finished(body) => [result(body.len()).freeze(), body, Bytes::from_static(&[NO_FIELDS])],
         Answer::Unchanged => {
-            out.put_slice(&[NIL, 0x92]);
-            put_binary_head(&mut out, 0);
+            let mut out = result(0);
             field(&mut out, "current", "1");
             [out.freeze(), Bytes::new(), Bytes::new()]
         }
-        Answer::Bounced(after) => failed(out, "Backoff", after),
-        Answer::Forfeited => failed(out, "Lost", None),
-        Answer::Invalid(why) => failed(out, why, None),
+        Answer::Bounced(after) => [error(call, "Backoff", after), Bytes::new(), Bytes::new()],
+        Answer::Forfeited => [error(call, "Lost", None), Bytes::new(), Bytes::new()],
     }
 }
 
+/// An answer that is an error.
+pub fn error(call: u32, word: &str, after: Option<Span>) -> Bytes {
+    let mut out = head(call);
+    out.put_u8(0x92);
+    put_text(&mut out, word);
+    match after {
+        Some(after) => field(&mut out, "after", &format!("{}", after.ms().ceil() as u64)),
+        None => out.put_u8(NO_FIELDS),
+    }
+    out.put_u8(NIL);
+    out.freeze()
+}
+
 pub fn alive(call: u32) -> Bytes {
     let mut out = head(call);
     out.put_slice(&[NIL, 0x92, 0xc3, NO_FIELDS]);
@@ -307,8 +289,10 @@
             body: "a form".into(),
         };
         for _ in 0..2 {
-            let whole = Parsed::Whole(Said::Pull { call: 7, asked: asked.clone() }, message.len());
+            let whole = Parsed::Whole(Said::Pull { call: 7, asked: asked.clone() });
+            let before = buffer.len();
             assert_eq!(parse(&mut buffer, &names()), Ok(whole));
+            assert_eq!(before - buffer.len(), message.len());
         }
         assert!(buffer.is_empty());
     }
@@ -331,10 +315,9 @@
     fn a_body_over_the_bound_is_an_invalid_pull_and_one_far_over_it_is_refused_before_it_comes() {
         let message = pull_message(7, "submit", &FIELDS, &[0; WRITE_MOST + 1]);
         let said = Said::Invalid { call: 7, why: "too long" };
-        assert_eq!(
-            parse(&mut BytesMut::from(&message[..]), &names()),
-            Ok(Parsed::Whole(said, message.len()))
-        );
+        let mut buffer = BytesMut::from(&message[..]);
+        assert_eq!(parse(&mut buffer, &names()), Ok(Parsed::Whole(said)));
+        assert!(buffer.is_empty(), "all its bytes are taken");
         let message = pull_message(7, "submit", &FIELDS, &[0; MESSAGE_MOST]);
         assert!(parse(&mut BytesMut::from(&message[..200]), &names()).is_err());
     }
--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -46,17 +46,12 @@
 }
 
 impl Reply {
-    pub fn has_place(&self) -> bool {
-        self.place.is_some()
-    }
-
     pub fn send(self, answer: Answer) {
         self.outbound.send(rpc::answer(self.call, answer), self.place);
     }
 }
 
-/// Ends a session from outside.
-#[derive(Clone)]
+/// What the outside sees of a session, and ends it by.
 pub struct Closer(Outbound);
 
 impl Closer {
@@ -81,11 +76,6 @@
         Reply { outbound: self.outbound.clone(), call, place }
     }
 
-    /// Answers that the client has not taken yet.
-    pub fn unread(&self) -> usize {
-        self.outbound.waiting()
-    }
-
     pub fn closer(&self) -> Closer {
         Closer(self.outbound.clone())
     }
@@ -97,14 +87,14 @@
                 return Heard::Over;
             }
             match rpc::parse(&mut self.inbound.bytes, &self.names) {
-                Ok(Parsed::Whole(said, _)) => match said {
+                Ok(Parsed::Whole(said)) => match said {
                     Said::Pull { call, asked } => return Heard::Pull { call, asked },
                     Said::Cancel { call } => return Heard::Cancel { call },
                     Said::Alive { call } => self.outbound.send([rpc::alive(call)], None),
                     Said::Invalid { call, why } => {
                         count(Count::pulls_invalid);
                         log::debug!("a client's request is invalid: {why}");
-                        self.reply(call, None).send(Answer::Invalid(why));
+                        self.outbound.send([rpc::error(call, why, None)], None);
                     }
                     Said::Nothing => {}
                 },
@@ -125,7 +115,7 @@
     async fn wait(&mut self, more: usize) -> bool {
         let pending = self.outbound.pending();
         tokio::select! {
-            read = self.inbound.more(more), if self.unread() < UNREAD_MOST => matches!(read, Ok(true)),
+            read = self.inbound.more(more), if self.outbound.waiting() < UNREAD_MOST => matches!(read, Ok(true)),
             written = self.outbound.step(), if pending => {
                 self.progress = Instant::now();
                 written.is_ok()
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -99,13 +99,13 @@
                 return false;
             }
             Heard::Pull { call, asked } => {
-                let slot = router.slots.take().filter(|_| pulls.len() + session.unread() < OPEN_MOST);
-                let reply = session.reply(call, slot);
-                if reply.has_place() {
-                    pulls.insert(call, router.take(asked, reply));
+                let fits = pulls.len() + self.closer.unread() < OPEN_MOST;
+                let slot = router.slots.take().filter(|_| fits);
+                if slot.is_some() {
+                    pulls.insert(call, router.take(asked, session.reply(call, slot)));
                 } else {
                     count(Count::pulls_no_room);
-                    reply.send(Answer::Bounced(None));
+                    session.reply(call, None).send(Answer::Bounced(None));
                 }
             }
             Heard::Cancel { call } => pulls.remove(&call).into_iter().for_each(|pull| router.leave(pull)),
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -103,7 +103,6 @@
     /// An event of the coordinator.
     pub fn told(&self, event: Event) {
         match event {
-            Event::Nothing => {}
             Event::Hosts(coverage, stations) => {
                 self.pool.list(coverage, &stations);
                 let lines = stations.into_iter().map(|station| station.listed).collect();
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -91,7 +91,6 @@
             }
         }
         must(self.router.pick(self.id) == Step::Wait, "a pull ends with no step left");
-        self.close();
     }
 
     fn close(&self) {
@@ -105,7 +104,7 @@
             Answer::Finished(_) => Count::finished,
             Answer::Unchanged => Count::unchanged,
             Answer::Bounced(_) => Count::bounced,
-            Answer::Forfeited | Answer::Invalid(_) => Count::forfeited,
+            Answer::Forfeited => Count::forfeited,
         });
         reply.send(answer);
         self.close();
--- a/crates/flaxdeck-dispatcher/src/transport/clock.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/clock.rs
@@ -18,11 +18,7 @@
     }
 
     pub fn now(&self) -> Time {
-        self.at(Instant::now())
-    }
-
-    pub fn at(&self, instant: Instant) -> Time {
-        Time::at_ms(self.start_ms + instant.saturating_duration_since(self.start).as_secs_f64() * 1000.0)
+        Time::at_ms(self.start_ms + self.start.elapsed().as_secs_f64() * 1000.0)
     }
 
     pub fn instant(&self, time: Time) -> Instant {
--- a/crates/flaxdeck-dispatcher/src/transport/link.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/link.rs
@@ -119,7 +119,7 @@
         self.stir.notified().await;
     }
 
-    /// Writes until nothing is left; at each step some progress was made.
+    /// Writes what the connection takes, once it takes something.
     pub async fn step(&self) -> io::Result<()> {
         self.stream.writable().await?;
         self.write()
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -15,6 +15,9 @@
     pub kinds: Vec<String>,
     /// The values of a load report, in their order; empty where answers hold none.
     pub report: Vec<String>,
+    /// Where in a load report the fullness of the location's link and the pulls in hand stand.
+    pub link_at: Option<usize>,
+    pub in_hand_at: Option<usize>,
     parent_kind: Option<usize>,
     origin_kind: Option<usize>,
 }
@@ -48,16 +51,6 @@
             _ => Role::Cache,
         }
     }
-
-    /// Where in a load report the fullness of the location's link stands.
-    pub fn link_at(&self) -> Option<usize> {
-        place(&self.report, "x1")
-    }
-
-    /// Where in a load report the pulls in hand stand.
-    pub fn in_hand_at(&self) -> Option<usize> {
-        place(&self.report, "outstanding")
-    }
 }
 
 /// What a note on an answer tells, by its number from 1 up.
@@ -136,6 +129,8 @@
         workloads: names,
         zones,
         kinds: settings.texts("kinds")?,
+        link_at: place(&report, "x1"),
+        in_hand_at: place(&report, "outstanding"),
         report,
         parent_kind: kind_place(family.number_or_none("shield_kind")?),
         origin_kind: kind_place(family.number_or_none("source_kind")?),
--- a/examples/toy/src/coordinator.rs
+++ b/examples/toy/src/coordinator.rs
@@ -3,9 +3,10 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
+use std::thread::spawn;
 use std::time::Duration;
 
-use crate::{Host, spawn};
+use crate::Host;
 
 /// An empty frame comes each second.
 const QUIET: Duration = Duration::from_secs(1);
--- a/examples/toy/src/host.rs
+++ b/examples/toy/src/host.rs
@@ -4,10 +4,9 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread::spawn;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use crate::spawn;
-
 /// How a host answers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
--- a/examples/toy/src/lib.rs
+++ b/examples/toy/src/lib.rs
@@ -8,10 +8,3 @@
 pub use client::{Answer, Client, pull_message};
 pub use coordinator::Coordinator;
 pub use host::{Host, Manner, body_of};
-
-use std::thread;
-
-/// Runs a loop of a stand-in; it ends with the process.
-fn spawn(work: impl FnOnce() + Send + 'static) {
-    thread::spawn(work);
-}
