--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -18,6 +18,10 @@
 /// Answers left unread at which nothing more is read from a client: twice what it may have open.
 const UNREAD_MOST: usize = 64;
 
+/// How long a whole message may take from its first byte, and the first one from the connection's start. Refusals
+/// are owed within 3 s of connecting, and a connection may have waited a while to be accepted.
+const WHOLE: Duration = Duration::from_millis(2000);
+
 /// What a client said.
 pub enum Heard {
     Pull {
@@ -27,6 +31,8 @@
     Cancel {
         call: u32,
     },
+    /// Something that needs no further answer.
+    Other,
     /// The connection is of no more use.
     Over,
 }
@@ -36,6 +42,8 @@
     outbound: Outbound,
     names: Rc<Names>,
     progress: Instant,
+    /// Since when a message is awaited that has to come: one that has begun, or the first of all.
+    begun: Option<Instant>,
 }
 
 /// The one answer that a pull gets; it can be given once only.
@@ -68,7 +76,8 @@
 impl Session {
     pub fn new(stream: TcpStream, names: Rc<Names>) -> Session {
         let (inbound, outbound) = link::split(stream);
-        Session { inbound, outbound, names, progress: Instant::now() }
+        let now = Instant::now();
+        Session { inbound, outbound, names, progress: now, begun: Some(now) }
     }
 
     /// What answers the pull of that number, with the place that it holds until the answer is written.
@@ -87,18 +96,25 @@
                 return Heard::Over;
             }
             match rpc::parse(&mut self.inbound.bytes, &self.names) {
-                Ok(Parsed::Whole(said)) => match said {
-                    Said::Pull { call, asked } => return Heard::Pull { call, asked },
-                    Said::Cancel { call } => return Heard::Cancel { call },
-                    Said::Alive { call } => self.outbound.send([rpc::alive(call)], None),
-                    Said::Invalid { call, why } => {
-                        count(Count::pulls_invalid);
-                        log::debug!("a client's request is invalid: {why}");
-                        self.outbound.send([rpc::error(call, why, None)], None);
+                Ok(Parsed::Whole(said)) => {
+                    self.begun = None;
+                    match said {
+                        Said::Pull { call, asked } => return Heard::Pull { call, asked },
+                        Said::Cancel { call } => return Heard::Cancel { call },
+                        Said::Alive { call } => self.outbound.send([rpc::alive(call)], None),
+                        Said::Invalid { call, why } => {
+                            count(Count::pulls_invalid);
+                            log::debug!("a client's request is invalid: {why}");
+                            self.outbound.send([rpc::error(call, why, None)], None);
+                        }
+                        Said::Nothing => {}
                     }
-                    Said::Nothing => {}
-                },
+                    return Heard::Other;
+                }
                 Ok(Parsed::Short(more)) => {
+                    if !self.inbound.bytes.is_empty() {
+                        self.begun.get_or_insert_with(Instant::now);
+                    }
                     if !self.wait(more).await {
                         return Heard::Over;
                     }
@@ -113,9 +129,14 @@
     }
 
     async fn wait(&mut self, more: usize) -> bool {
-        let pending = self.outbound.pending();
+        let (pending, reads) = (self.outbound.pending(), self.outbound.waiting() < UNREAD_MOST);
+        let whole_by = self.begun.unwrap_or(self.progress) + WHOLE;
         tokio::select! {
-            read = self.inbound.more(more), if self.outbound.waiting() < UNREAD_MOST => matches!(read, Ok(true)),
+            read = self.inbound.more(more), if reads => matches!(read, Ok(true)),
+            () = sleep_until(whole_by), if reads && self.begun.is_some() => {
+                count(Count::clients_not_whole);
+                false
+            }
             written = self.outbound.step(), if pending => {
                 self.progress = Instant::now();
                 written.is_ok()
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -22,11 +22,16 @@
 /// Between looks for a free place, or after a failed accept: descriptors come free within it.
 const PAUSE: Duration = Duration::from_millis(5);
 
+/// How long a connection may say nothing before it is the first to make room: a few trips of a far client.
+const SILENT: Duration = Duration::from_millis(250);
+
 /// What the accepting side knows of a connection.
 struct Client {
     /// Its pulls by their numbers, also some that have their answers since it last spoke.
     pulls: RefCell<BTreeMap<u32, PullId>>,
     quiet_since: Cell<Instant>,
+    /// It has said something whole.
+    spoke: Cell<bool>,
     closer: Closer,
 }
 
@@ -36,7 +41,7 @@
     loop {
         clients.retain(|client| client.strong_count() > 0);
         if router.clients.is_full() {
-            router.close_longest_idle(&clients);
+            router.make_room(&clients);
             sleep(PAUSE).await;
             continue;
         }
@@ -55,7 +60,18 @@
 }
 
 impl Router {
-    fn close_longest_idle(&self, clients: &[Weak<Client>]) {
+    /// Those that never said anything go first, all of them; else the longest idle does.
+    fn make_room(&self, clients: &[Weak<Client>]) {
+        let silent = |client: &Rc<Client>| !client.spoke.get() && client.quiet_since.get().elapsed() > SILENT;
+        let mut found = false;
+        for client in clients.iter().filter_map(Weak::upgrade).filter(silent) {
+            found = true;
+            count(Count::clients_closed_silent);
+            client.closer.close();
+        }
+        if found {
+            return;
+        }
         let answered = |client: &Rc<Client>| client.pulls.borrow().values().all(|pull| !self.is_open(*pull));
         let idle = |client: &Rc<Client>| answered(client) && client.closer.unread() == 0;
         let clients = clients.iter().filter_map(Weak::upgrade).filter(idle);
@@ -68,8 +84,8 @@
 
 fn serve(router: &Rc<Router>, stream: TcpStream) -> Weak<Client> {
     let session = Session::new(stream, router.names.clone());
-    let (pulls, quiet_since) = (RefCell::default(), Cell::new(Instant::now()));
-    let client = Rc::new(Client { pulls, quiet_since, closer: session.closer() });
+    let (pulls, quiet_since, spoke) = (RefCell::default(), Cell::new(Instant::now()), Cell::new(false));
+    let client = Rc::new(Client { pulls, quiet_since, spoke, closer: session.closer() });
     let weak = Rc::downgrade(&client);
     spawn_local(listen(router.clone(), session, client, router.clients.take()));
     weak
@@ -92,12 +108,18 @@
         let mut pulls = self.pulls.borrow_mut();
         pulls.retain(|_, pull| router.is_open(*pull));
         self.quiet_since.set(Instant::now());
+        self.spoke.set(true);
         match heard {
             Heard::Pull { call, .. } if pulls.contains_key(&call) => {
                 count(Count::clients_malformed);
                 log::debug!("a client's connection is closed: two pulls of one number");
                 return false;
             }
+            // Hosts tell pulls apart by their ids alone, so a second one would meddle with the first.
+            Heard::Pull { call, asked } if router.has_id(&asked.id) => {
+                count(Count::pulls_id_in_use);
+                session.reply(call, None).send(Answer::Forfeited);
+            }
             Heard::Pull { call, asked } => {
                 let fits = pulls.len() + self.closer.unread() < OPEN_MOST;
                 let slot = router.slots.take().filter(|_| fits);
@@ -105,10 +127,11 @@
                     pulls.insert(call, router.take(asked, session.reply(call, slot)));
                 } else {
                     count(Count::pulls_no_room);
-                    session.reply(call, None).send(Answer::Bounced(None));
+                    session.reply(call, None).send(Answer::Bounced(router.come_back()));
                 }
             }
             Heard::Cancel { call } => pulls.remove(&call).into_iter().for_each(|pull| router.leave(pull)),
+            Heard::Other => {}
             Heard::Over => return false,
         }
         true
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -5,10 +5,11 @@
 mod pulls;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flaxdeck::facade::{Facade, News, Step};
 use flaxdeck::words::*;
 use flaxdeck_terms::{Carriage, Names};
@@ -37,6 +38,8 @@
     clock: Clock,
     facade: RefCell<Facade>,
     table: RefCell<BTreeMap<PullId, Rc<Seat>>>,
+    /// What clients call the pulls whose hand-offs are not all over.
+    ids: RefCell<BTreeSet<Bytes>>,
     names: Rc<Names>,
     pool: Rc<Pool>,
     slots: Room,
@@ -62,6 +65,7 @@
             clock,
             facade: RefCell::new(Facade::start(clock.now(), seed, terms)),
             table: RefCell::new(BTreeMap::new()),
+            ids: RefCell::new(BTreeSet::new()),
             pool: Pool::new(names.clone(), carriage, bounds.hosts),
             names,
             slots: Room::new(bounds.pulls),
@@ -100,6 +104,15 @@
         self.facade.borrow_mut().pick(pull)
     }
 
+    fn has_id(&self, id: &Bytes) -> bool {
+        self.ids.borrow().contains(id)
+    }
+
+    /// When a client that finds no room may come back.
+    fn come_back(&self) -> Option<Span> {
+        self.facade.borrow().come_back()
+    }
+
     fn stir(&self, pulls: &[PullId]) {
         let table = self.table.borrow();
         pulls.iter().filter_map(|pull| table.get(pull)).for_each(|seat| seat.stir.notify_one());
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -49,6 +49,7 @@
         };
         let seat = Rc::new(Seat::default());
         self.table.borrow_mut().insert(id, seat.clone());
+        must(self.ids.borrow_mut().insert(asked.id.clone()), "open pulls differ by their ids");
         self.report(News::Arrived(pull));
         let (router, asked, reply) = (self.clone(), Rc::new(asked), Some(reply));
         let ride = Ride { router, id, asked, seat, reply, out: Vec::new(), tasks: JoinSet::new() };
@@ -90,6 +91,7 @@
                 }
             }
         }
+        self.router.ids.borrow_mut().remove(&self.asked.id);
         must(self.router.pick(self.id) == Step::Wait, "a pull ends with no step left");
     }
 
--- a/examples/toy/src/client.rs
+++ b/examples/toy/src/client.rs
@@ -48,10 +48,15 @@
         self.stream.write_all(bytes)
     }
 
+    /// The id of a pull by its call: new with each, also beside other clients of this machine.
+    pub fn id(&self, call: u32) -> String {
+        format!("{:08x}{call:08x}", self.stream.local_addr().map_or(0, |own| own.port()))
+    }
+
     /// Asks for part 0 of an object; gives the number of the call.
     pub fn pull(&mut self, class: &str, key: &str, wait_ms: u64, body: &[u8]) -> io::Result<u32> {
         let (call, wait) = (self.next, wait_ms.to_string());
-        let id = format!("{:016x}", 0x1000 + u64::from(call));
+        let id = self.id(call);
         let fields =
             [("id", &*id), ("wait", &wait), ("key", key), ("slice", "0"), ("set", "7"), ("kb", "50")];
         self.next += 1;
--- a/examples/toy/src/host.rs
+++ b/examples/toy/src/host.rs
@@ -23,6 +23,8 @@
     BreakInAnswer,
     /// Answers what nobody can read.
     Garble,
+    /// Serves with an answer to somebody else ahead and its own once more behind.
+    Extra,
 }
 
 #[derive(Default)]
@@ -126,17 +128,22 @@
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
         let note = if held { "how=hit" } else { "how=filled,took=1.5" };
         let told = format!("version=v{},stamp={unix},{note},stats=outstanding:1;x0:0.5;x1:0.1", value("key"));
-        let mut say = |word: &str, told: &str, body: &[u8]| {
+        let mut say = |word: &str, told: &str, body: &[u8], id: &str| {
             let head = format!("{id} {word} {told} {}\r\n", body.len());
             output.write_all(&[head.as_bytes(), body, b"\r\n"].concat())
         };
         match manner {
-            Manner::Serve => say("data", &told, &body)?,
-            Manner::Say("unchanged") => say("unchanged", &told, &[])?,
-            Manner::Say(word) => say(word, "-", &[])?,
+            Manner::Serve => say("data", &told, &body, id)?,
+            Manner::Say("unchanged") => say("unchanged", &told, &[], id)?,
+            Manner::Say(word) => say(word, "-", &[], id)?,
             Manner::Late(ms) => {
                 std::thread::sleep(Duration::from_millis(ms));
-                say("data", &told, &body)?;
+                say("data", &told, &body, id)?;
+            }
+            Manner::Extra => {
+                say("data", &told, &body, "0123456789abcdef")?;
+                say("data", &told, &body, id)?;
+                say("data", &told, &body, id)?;
             }
             Manner::Silent => {}
             Manner::Break => return Ok(false),
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -184,7 +184,7 @@
     early: Span,
     ends: Time,
     settles: Span,
-    come_back: Option<Span>,
+    pub come_back: Option<Span>, // also for clients that the caller has no room for
     most_hand_offs: u32,
     duplicates: bool,
     cancels: bool,
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -92,6 +92,11 @@
         self.sort(decisions)
     }
 
+    /// When a client may come back whose pull was not even reported.
+    pub fn come_back(&self) -> Option<Span> {
+        self.brain.come_back
+    }
+
     pub fn due(&self) -> Option<Time> {
         self.due.first().copied()
     }
