Memory bounds what is really held, not every pull at its largest size

One dispatcher of three takes half the traffic; its log stands at pulls=69 from 235 s to 250 s, with 1,479 pulls turned away for want of room (pulls_no_room) beside 1,389 bounces of the module, while 8 of 32 MB were in use. No hand-off broke or timed out then, so it was not the peers; descriptors stood at 223 of 256 at most, so it was not those. Cause: room.rs counted each pull at an object and a write at their largest (288,000 bytes): 69 pulls in 32 MB.

Change: a pull counts with what it takes beside its bytes, and bytes with what they are, taken before they are read (Room::wait_for); a client's message over 8 KB and a host's answer alike. Empty buffers are given back: idle connections held up to a largest object each. A client that takes nothing is closed after 3 s, not 8, as what waits for it now holds bytes that others could use. Could harm: many large answers at once wait for each other.

--- a/crates/flaxdeck-dispatcher/src/protocol/feed.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/feed.rs
@@ -94,7 +94,7 @@
         count(Count::feed_connects);
         match timeout(CONNECT, link::connect(self.address)).await {
             Ok(Ok((inbound, outbound))) => {
-                outbound.send([Bytes::copy_from_slice(&self.last.to_be_bytes())], None);
+                outbound.send([Bytes::copy_from_slice(&self.last.to_be_bytes())], [None, None]);
                 (self.link, self.new) = (Some((inbound, outbound)), true);
             }
             Ok(Err(error)) => {
--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -18,7 +18,7 @@
 use super::{Asked, Outcome, Parsed};
 use crate::transport::clock::length;
 use crate::transport::link::{self, Inbound, Outbound};
-use crate::transport::room::{Place, Room};
+use crate::transport::room::{Place, Room, SMALL};
 use crate::transport::tally::{Count, count};
 
 /// The part of the hosts' idle time after which a connection is closed here, so that both ends never race.
@@ -37,22 +37,29 @@
 impl Conn {
     /// The answer to that id; none if the connection broke or made no sense. Answers that nobody asked for here
     /// are passed over: the own one may stand behind them.
-    async fn answer(&mut self, id: &Bytes, names: &Names) -> Option<Outcome> {
+    async fn answer(&mut self, id: &Bytes, pool: &Pool) -> Option<(Outcome, Option<Place>)> {
         loop {
-            match self.line(names).await? {
-                Line { id: Some(answered), outcome } if answered == id => return Some(outcome),
+            match self.line(pool).await? {
+                (Line { id: Some(answered), outcome }, held) if answered == id => {
+                    return Some((outcome, held));
+                }
                 _ => count(Count::hosts_strays),
             }
         }
     }
 
-    /// The next answer line; none if the connection broke or made no sense.
-    async fn line(&mut self, names: &Names) -> Option<Line> {
+    /// The next answer line with the place that its bytes hold; none if the connection broke or made no sense.
+    async fn line(&mut self, pool: &Pool) -> Option<(Line, Option<Place>)> {
+        let mut held = None;
         loop {
-            match lines::parse(&mut self.inbound.bytes, names) {
-                Ok(Parsed::Whole(line)) => return Some(line),
+            match lines::parse(&mut self.inbound.bytes, &pool.names) {
+                Ok(Parsed::Whole(line)) => return Some((line, held)),
                 Ok(Parsed::Short(more)) => {
                     let enough = self.inbound.bytes.len() + more;
+                    // Until memory is free the rest stays with the host.
+                    if enough > SMALL && held.is_none() {
+                        held = Some(pool.bytes.wait_for(enough).await);
+                    }
                     while self.inbound.bytes.len() < enough {
                         let missing = enough - self.inbound.bytes.len();
                         if !matches!(self.inbound.more(missing).await, Ok(true)) {
@@ -81,6 +88,8 @@
     connect_within: Duration,
     idle: Duration,
     room: Room,
+    /// Bytes that open pulls hold, asked and answered.
+    bytes: Rc<Room>,
     kept: RefCell<BTreeMap<HostId, Kept>>,
 }
 
@@ -94,12 +103,13 @@
 }
 
 impl Pool {
-    pub fn new(names: Rc<Names>, carriage: Carriage, most: usize) -> Rc<Pool> {
+    pub fn new(names: Rc<Names>, carriage: Carriage, most: usize, bytes: Rc<Room>) -> Rc<Pool> {
         Rc::new(Pool {
             names,
             connect_within: length(carriage.connect_within),
             idle: length(carriage.idle * IDLE_PART),
             room: Room::new(most),
+            bytes,
             kept: RefCell::new(BTreeMap::new()),
         })
     }
@@ -138,40 +148,47 @@
         }
     }
 
-    /// Sends a pull to a host and waits for its answer, no longer than allowed.
-    pub async fn ask(self: &Rc<Pool>, host: &HostId, asked: &Asked, wish: Wish<'_>) -> Outcome {
+    /// Sends a pull to a host and waits for its answer, no longer than allowed; gives the place that the answer's
+    /// bytes hold as well.
+    pub async fn ask(
+        self: &Rc<Pool>,
+        host: &HostId,
+        asked: &Asked,
+        wish: Wish<'_>,
+    ) -> (Outcome, Option<Place>) {
+        let bare = |ending| (Outcome::bare(ending), None);
         let until = Instant::now() + length(wish.waits);
         let conn = match self.kept_idle(host) {
             Some(conn) => conn,
             None => match self.connect(host, wish.waits).await {
                 Ok(conn) => conn,
-                Err(ending) => return Outcome::bare(ending),
+                Err(ending) => return bare(ending),
             },
         };
         let mut open = Open { pool: self, host, id: &asked.id, conn: Some(conn), written: false };
         let conn = open.conn.as_mut().expect("just put");
-        conn.outbound.send(lines::want(asked, &wish), None);
+        conn.outbound.send(lines::want(asked, &wish), [None, None]);
         if !matches!(timeout_at(until, conn.outbound.flush()).await, Ok(Ok(()))) {
             // The last byte was never written, so nothing ran; half a request ends with its connection.
             open.conn = None;
             count(Count::hosts_unreached);
-            return Outcome::bare(Ending::NotConnected);
+            return bare(Ending::NotConnected);
         }
         open.written = true;
         let conn = open.conn.as_mut().expect("just put");
-        match timeout_at(until, conn.answer(&asked.id, &self.names)).await {
-            Ok(Some(outcome)) => {
+        match timeout_at(until, conn.answer(&asked.id, self)).await {
+            Ok(Some(answered)) => {
                 open.written = false;
-                outcome
+                answered
             }
             Ok(None) => {
                 open.conn = None;
                 count(Count::hosts_broken);
-                Outcome::bare(Ending::Broken)
+                bare(Ending::Broken)
             }
             Err(_) => {
                 count(Count::hosts_timed_out);
-                Outcome::bare(Ending::TimedOut)
+                bare(Ending::TimedOut)
             }
         }
     }
@@ -224,6 +241,7 @@
 
     fn keep(&self, host: &HostId, mut conn: Conn) {
         conn.used = Instant::now();
+        conn.inbound.rest();
         let mut kept = self.kept.borrow_mut();
         // The host may have moved while the connection was out.
         if let Some(kept) = kept.get_mut(host).filter(|kept| kept.address == conn.address) {
@@ -234,10 +252,10 @@
     /// Gives a request up. Its late answer may be on its way, so the connection is kept only once the host
     /// has shown that none will follow.
     async fn fence(self: Rc<Pool>, host: HostId, id: Bytes, mut conn: Conn) {
-        conn.outbound.send([lines::never_mind(&id)], None);
+        conn.outbound.send([lines::never_mind(&id)], [None, None]);
         let fenced = async {
             conn.outbound.flush().await.ok()?;
-            while conn.line(&self.names).await?.id.is_some() {}
+            while conn.line(&self).await?.0.id.is_some() {}
             Some(())
         };
         if timeout(FENCED, fenced).await == Ok(Some(())) {
--- a/crates/flaxdeck-dispatcher/src/protocol/rpc.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/rpc.rs
@@ -8,10 +8,8 @@
 
 use super::msgpack::{Reader, Stop, put_binary_head, put_text, put_whole};
 use super::{Answer, Asked, Malformed, Parsed};
-use crate::transport::room::WRITE_MOST;
+use crate::transport::room::{MESSAGE_MOST, WRITE_MOST};
 
-/// Bytes of one message: the largest write, and as much again as fields could need.
-pub const MESSAGE_MOST: usize = WRITE_MOST + 16 * 1024;
 /// Bytes of a field's name or value; the longest of the protocol are 16.
 const FIELD_MOST: usize = 256;
 /// Fields of a message; the protocol names eight.
--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -10,11 +10,11 @@
 use super::rpc::{self, Said};
 use super::{Answer, Asked, Parsed};
 use crate::transport::link::{self, Inbound, Outbound};
-use crate::transport::room::Place;
+use crate::transport::room::{Place, Room, SMALL};
 use crate::transport::tally::{Count, count};
 
-/// How long a client may take nothing of what waits for it; longer than any client waits for an answer.
-const STALLED: Duration = Duration::from_secs(8);
+/// How long a client may take nothing of what waits for it, which holds memory that others could use.
+const STALLED: Duration = Duration::from_secs(3);
 /// Answers left unread at which nothing more is read from a client: twice what it may have open.
 const UNREAD_MOST: usize = 64;
 
@@ -41,6 +41,9 @@
     inbound: Inbound,
     outbound: Outbound,
     names: Rc<Names>,
+    /// Room for bytes, and what a message takes of it that is not whole yet.
+    bytes: Rc<Room>,
+    held: Option<Place>,
     progress: Instant,
     /// Since when a message is awaited that has to come: one that has begun, or the first of all.
     begun: Option<Instant>,
@@ -54,8 +57,9 @@
 }
 
 impl Reply {
-    pub fn send(self, answer: Answer) {
-        self.outbound.send(rpc::answer(self.call, answer), self.place);
+    /// Sends the answer, with the place that its bytes hold until it is written.
+    pub fn send(self, answer: Answer, held: Option<Place>) {
+        self.outbound.send(rpc::answer(self.call, answer), [self.place, held]);
     }
 }
 
@@ -74,10 +78,10 @@
 }
 
 impl Session {
-    pub fn new(stream: TcpStream, names: Rc<Names>) -> Session {
+    pub fn new(stream: TcpStream, names: Rc<Names>, bytes: Rc<Room>) -> Session {
         let (inbound, outbound) = link::split(stream);
         let now = Instant::now();
-        Session { inbound, outbound, names, progress: now, begun: Some(now) }
+        Session { inbound, outbound, names, bytes, held: None, progress: now, begun: Some(now) }
     }
 
     /// What answers the pull of that number, with the place that it holds until the answer is written.
@@ -97,21 +101,22 @@
             }
             match rpc::parse(&mut self.inbound.bytes, &self.names) {
                 Ok(Parsed::Whole(said)) => {
-                    self.begun = None;
+                    (self.begun, self.held) = (None, None);
                     match said {
                         Said::Pull { call, asked } => return Heard::Pull { call, asked },
                         Said::Cancel { call } => return Heard::Cancel { call },
-                        Said::Alive { call } => self.outbound.send([rpc::alive(call)], None),
+                        Said::Alive { call } => self.outbound.send([rpc::alive(call)], [None, None]),
                         Said::Invalid { call, why } => {
                             count(Count::pulls_invalid);
                             log::debug!("a client's request is invalid: {why}");
-                            self.outbound.send([rpc::error(call, why, None)], None);
+                            self.outbound.send([rpc::error(call, why, None)], [None, None]);
                         }
                         Said::Nothing => {}
                     }
                     return Heard::Other;
                 }
                 Ok(Parsed::Short(more)) => {
+                    self.inbound.rest();
                     if !self.inbound.bytes.is_empty() {
                         self.begun.get_or_insert_with(Instant::now);
                     }
@@ -130,9 +135,17 @@
 
     async fn wait(&mut self, more: usize) -> bool {
         let (pending, reads) = (self.outbound.pending(), self.outbound.waiting() < UNREAD_MOST);
+        let enough = Some(self.inbound.bytes.len() + more).filter(|enough| *enough > SMALL);
+        let (inbound, held) = (&mut self.inbound, &mut self.held);
+        let read = async {
+            if let Some(enough) = enough.filter(|_| held.is_none()) {
+                *held = Some(self.bytes.wait_for(enough).await);
+            }
+            inbound.more(more).await
+        };
         let whole_by = self.begun.unwrap_or(self.progress) + WHOLE;
         tokio::select! {
-            read = self.inbound.more(more), if reads => matches!(read, Ok(true)),
+            read = read, if reads => matches!(read, Ok(true)),
             () = sleep_until(whole_by), if reads && self.begun.is_some() => {
                 count(Count::clients_not_whole);
                 false
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -83,7 +83,7 @@
 }
 
 fn serve(router: &Rc<Router>, stream: TcpStream) -> Weak<Client> {
-    let session = Session::new(stream, router.names.clone());
+    let session = Session::new(stream, router.names.clone(), router.bytes.clone());
     let (pulls, quiet_since, spoke) = (RefCell::default(), Cell::new(Instant::now()), Cell::new(false));
     let client = Rc::new(Client { pulls, quiet_since, spoke, closer: session.closer() });
     let weak = Rc::downgrade(&client);
@@ -118,16 +118,19 @@
             // Hosts tell pulls apart by their ids alone, so a second one would meddle with the first.
             Heard::Pull { call, asked } if router.has_id(&asked.id) => {
                 count(Count::pulls_id_in_use);
-                session.reply(call, None).send(Answer::Forfeited);
+                session.reply(call, None).send(Answer::Forfeited, None);
             }
             Heard::Pull { call, asked } => {
                 let fits = pulls.len() + self.closer.unread() < OPEN_MOST;
-                let slot = router.slots.take().filter(|_| fits);
-                if slot.is_some() {
-                    pulls.insert(call, router.take(asked, session.reply(call, slot)));
-                } else {
-                    count(Count::pulls_no_room);
-                    session.reply(call, None).send(Answer::Bounced(router.come_back()));
+                let (slot, held) = (router.slots.take(), router.bytes.take_some(asked.body.len()));
+                match held.filter(|_| fits && slot.is_some()) {
+                    Some(held) => {
+                        pulls.insert(call, router.take(asked, session.reply(call, slot), held));
+                    }
+                    None => {
+                        count(Count::pulls_no_room);
+                        session.reply(call, None).send(Answer::Bounced(router.come_back()), None);
+                    }
                 }
             }
             Heard::Cancel { call } => pulls.remove(&call).into_iter().for_each(|pull| router.leave(pull)),
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -43,6 +43,8 @@
     names: Rc<Names>,
     pool: Rc<Pool>,
     slots: Room,
+    /// Bytes that open pulls hold, asked and answered.
+    bytes: Rc<Room>,
     clients: Room,
     next: Cell<u64>,
     /// The time at which the facade wants its tick has changed.
@@ -61,14 +63,16 @@
         carriage: Carriage,
         bounds: Bounds,
     ) -> Rc<Router> {
+        let bytes = Rc::new(Room::new(bounds.bytes));
         Rc::new(Router {
             clock,
             facade: RefCell::new(Facade::start(clock.now(), seed, terms)),
             table: RefCell::new(BTreeMap::new()),
             ids: RefCell::new(BTreeSet::new()),
-            pool: Pool::new(names.clone(), carriage, bounds.hosts),
+            pool: Pool::new(names.clone(), carriage, bounds.hosts, bytes.clone()),
             names,
             slots: Room::new(bounds.pulls),
+            bytes,
             clients: Room::new(bounds.clients),
             next: Cell::new(0),
             due_changed: Notify::new(),
@@ -146,6 +150,7 @@
     /// Takes over what a later configuration may change under load; open pulls notice nothing.
     pub fn reload(&self, bounds: Bounds, feed: Feed, known: Numbered) {
         self.slots.resize(bounds.pulls);
+        self.bytes.resize(bounds.bytes);
         self.clients.resize(bounds.clients);
         self.pool.resize(bounds.hosts);
         *self.later.borrow_mut() = Some((feed, known));
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -10,6 +10,7 @@
 use super::{Router, Seat};
 use crate::protocol::session::Reply;
 use crate::protocol::{Answer, Asked, Outcome, Wish};
+use crate::transport::room::Place;
 use crate::transport::tally::{Count, count, must};
 
 /// A hand-off that is out.
@@ -24,16 +25,18 @@
     router: Rc<Router>,
     id: PullId,
     asked: Rc<Asked>,
+    /// Room for the bytes of what was asked.
+    _held: Place,
     seat: Rc<Seat>,
     /// Until the pull has its answer.
     reply: Option<Reply>,
     out: Vec<Out>,
-    tasks: JoinSet<(Leg, Outcome)>,
+    tasks: JoinSet<(Leg, (Outcome, Option<Place>))>,
 }
 
 impl Router {
     /// Takes a pull in; its task gives the answer.
-    pub(super) fn take(self: &Rc<Router>, asked: Asked, reply: Reply) -> PullId {
+    pub(super) fn take(self: &Rc<Router>, asked: Asked, reply: Reply, held: Place) -> PullId {
         let (id, now) = (PullId(self.next.get()), self.clock.now());
         self.next.set(id.0 + 1);
         count(Count::pulls);
@@ -52,7 +55,8 @@
         must(self.ids.borrow_mut().insert(asked.id.clone()), "open pulls differ by their ids");
         self.report(News::Arrived(pull));
         let (router, asked, reply) = (self.clone(), Rc::new(asked), Some(reply));
-        let ride = Ride { router, id, asked, seat, reply, out: Vec::new(), tasks: JoinSet::new() };
+        let (out, tasks) = (Vec::new(), JoinSet::new());
+        let ride = Ride { router, id, asked, _held: held, seat, reply, out, tasks };
         spawn_local(ride.run());
         id
     }
@@ -85,8 +89,8 @@
                     }
                 }
                 Some(ended) = self.tasks.join_next() => {
-                    if let Ok((leg, outcome)) = ended {
-                        self.ended(leg, outcome);
+                    if let Ok((leg, (outcome, held))) = ended {
+                        self.ended(leg, outcome, held);
                     }
                 }
             }
@@ -100,7 +104,7 @@
     }
 
     /// The only place where a pull gets its answer.
-    fn answer(&mut self, answer: Answer) {
+    fn answer(&mut self, answer: Answer, held: Option<Place>) {
         let Some(reply) = self.reply.take() else { return must(false, "one answer a pull") };
         count(match &answer {
             Answer::Finished(_) => Count::finished,
@@ -108,7 +112,7 @@
             Answer::Bounced(_) => Count::bounced,
             Answer::Forfeited => Count::forfeited,
         });
-        reply.send(answer);
+        reply.send(answer, held);
         self.close();
     }
 
@@ -117,8 +121,8 @@
             match self.router.pick(self.id) {
                 Step::HandOff(leg, hand_off) => self.hand_off(leg, hand_off),
                 Step::TakeBack(leg) => self.take_back(leg),
-                Step::Bounce(come_back) => self.answer(Answer::Bounced(come_back)),
-                Step::Forfeit => self.answer(Answer::Forfeited),
+                Step::Bounce(come_back) => self.answer(Answer::Bounced(come_back), None),
+                Step::Forfeit => self.answer(Answer::Forfeited, None),
                 Step::Wait => return,
             }
         }
@@ -153,13 +157,13 @@
         }
     }
 
-    fn ended(&mut self, leg: Leg, outcome: Outcome) {
+    fn ended(&mut self, leg: Leg, outcome: Outcome, held: Option<Place>) {
         let Some(at) = self.out.iter().position(|out| out.leg == leg) else { return };
         let Out { host, sent, .. } = self.out.remove(at);
         let Outcome { ending, body, unchanged, told, waited, link, in_hand } = outcome;
         log::debug!("pull {} leg {} at {}: {ending:?} {told:?} {link:?}", self.id.0, leg.0, host.0);
         if ending == Ending::Answered && self.reply.is_some() {
-            self.answer(if unchanged { Answer::Unchanged } else { Answer::Finished(body) });
+            self.answer(if unchanged { Answer::Unchanged } else { Answer::Finished(body) }, held);
         }
         let (pull, closed) = (self.id, self.reply.is_none());
         let took = Span::of_ms(sent.elapsed().as_secs_f64() * 1000.0);
--- a/crates/flaxdeck-dispatcher/src/transport/link.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/link.rs
@@ -26,9 +26,9 @@
 impl Inbound {
     /// Waits for more bytes, `want` of them if that many are known to be coming; false at the end.
     pub async fn more(&mut self, want: usize) -> io::Result<bool> {
-        self.bytes.reserve(want.max(READ));
         loop {
             self.stream.readable().await?;
+            self.bytes.reserve(want.max(READ));
             match self.stream.try_read_buf(&mut self.bytes) {
                 Err(error) if error.kind() == ErrorKind::WouldBlock => continue,
                 read => return read.map(|count| count > 0),
@@ -36,6 +36,13 @@
         }
     }
 
+    /// Gives the buffer's memory back if nothing is in it; what was taken out may go on holding its own.
+    pub fn rest(&mut self) {
+        if self.bytes.is_empty() {
+            self.bytes = BytesMut::new();
+        }
+    }
+
     /// Whether the other side has closed, or sent what nobody asked for, since the last read.
     pub fn stale(&mut self) -> bool {
         let quiet = self.stream.try_read(&mut [0; 1]);
@@ -43,10 +50,10 @@
     }
 }
 
-/// A message to go out, with the place that its pull holds until it is written.
+/// A message to go out, with the places that it holds until it is written.
 struct Parcel {
     pieces: VecDeque<Bytes>,
-    _place: Option<Place>,
+    _places: [Option<Place>; 2],
 }
 
 struct Queue {
@@ -80,12 +87,12 @@
 
 impl Outbound {
     /// Queues one message and writes what the connection takes at once.
-    pub fn send(&self, pieces: impl IntoIterator<Item = Bytes>, place: Option<Place>) {
+    pub fn send(&self, pieces: impl IntoIterator<Item = Bytes>, places: [Option<Place>; 2]) {
         if self.is_closed() {
             return;
         }
         let pieces = pieces.into_iter().filter(|piece| !piece.is_empty()).collect();
-        self.queue.borrow_mut().parcels.push_back(Parcel { pieces, _place: place });
+        self.queue.borrow_mut().parcels.push_back(Parcel { pieces, _places: places });
         if self.write().is_err() {
             self.close();
         } else if self.pending() {
--- a/crates/flaxdeck-dispatcher/src/transport/room.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/room.rs
@@ -1,18 +1,27 @@
 //! What bounds memory and descriptors, derived from the limits handed in.
 
 use std::cell::Cell;
+use std::pin::pin;
 use std::rc::Rc;
 
+use tokio::sync::Notify;
+
 /// Descriptors kept for the listener, the coordinator, the runtime and standard streams.
 const OWN_SOCKETS: usize = 24;
-/// The part of the memory limit that pulls may take; the rest is the program, tables and second copies.
-const PULLS_PART: f64 = 0.6;
-/// Bytes one pull can hold: an object at its largest and a write.
-const PULL_MOST: usize = OBJECT_MOST + WRITE_MOST;
+/// The part of the memory limit that pulls may take beside the bytes they carry, and the part for those bytes,
+/// asked and answered; the rest is the program, its tables and what the allocator can't give back.
+const PULLS_PART: f64 = 0.2;
+const BYTES_PART: f64 = 0.4;
+/// What one pull takes beside the bytes it carries: its task, its places in tables, its connection's read buffer.
+const PULL: f64 = 16.0 * 1024.0;
+/// Bytes of a message that count with its connection or pull; a larger one takes room of its own before it is read.
+pub const SMALL: usize = 8 * 1024;
 /// Bytes of the largest object that the protocol provides for.
 pub const OBJECT_MOST: usize = 240_000;
 /// Bytes of the largest write that the protocol provides for.
 pub const WRITE_MOST: usize = 48_000;
+/// Bytes of one message of a client: the largest write, and as much again as fields could need.
+pub const MESSAGE_MOST: usize = WRITE_MOST + 16 * 1024;
 
 /// How much of everything this process may hold.
 #[derive(Clone, Copy, Debug)]
@@ -20,51 +29,118 @@
     pub clients: usize,
     pub hosts: usize,
     pub pulls: usize,
+    /// Bytes that open pulls may hold together.
+    pub bytes: usize,
 }
 
 impl Bounds {
     pub fn of(memory_mb: f64, sockets: usize) -> Bounds {
         let clients = (sockets / 3).max(1);
         let hosts = sockets.saturating_sub(clients + OWN_SOCKETS).max(1);
-        let bytes = memory_mb.max(1.0) * 1024.0 * 1024.0 * PULLS_PART;
-        Bounds { clients, hosts, pulls: ((bytes / PULL_MOST as f64) as usize).max(1) }
+        let memory = memory_mb.max(0.0) * 1024.0 * 1024.0;
+        // Each client may have the start of a message here that is no pull yet.
+        let bytes = ((memory * BYTES_PART) as usize).saturating_sub(clients * SMALL);
+        Bounds {
+            clients,
+            hosts,
+            pulls: ((memory * PULLS_PART / PULL) as usize).max(1),
+            bytes: bytes.max(OBJECT_MOST + WRITE_MOST),
+        }
     }
 }
 
-/// So many places, each held by a [`Place`].
-pub struct Room {
-    taken: Rc<Cell<usize>>,
+struct Inside {
+    taken: Cell<usize>,
     most: Cell<usize>,
+    /// Some places have been given back.
+    freed: Notify,
 }
 
-/// One place of a room, given back when dropped.
-pub struct Place(Rc<Cell<usize>>);
+/// So many places, held by [`Place`]s.
+pub struct Room(Rc<Inside>);
+
+/// So many places of a room, given back when dropped.
+pub struct Place {
+    room: Rc<Inside>,
+    places: usize,
+}
 
 impl Room {
     pub fn new(most: usize) -> Room {
-        Room { taken: Rc::new(Cell::new(0)), most: Cell::new(most) }
+        Room(Rc::new(Inside { taken: Cell::new(0), most: Cell::new(most), freed: Notify::new() }))
     }
     /// With fewer places than are taken, none is free until enough have come back.
     pub fn resize(&self, most: usize) {
-        self.most.set(most);
+        self.0.most.set(most);
+        self.0.freed.notify_waiters();
     }
     pub fn take(&self) -> Option<Place> {
-        if self.is_full() {
+        self.take_some(1)
+    }
+    pub fn take_some(&self, places: usize) -> Option<Place> {
+        let taken = self.taken() + places;
+        if taken > self.0.most.get() {
             return None;
         }
-        self.taken.set(self.taken.get() + 1);
-        Some(Place(self.taken.clone()))
+        self.0.taken.set(taken);
+        Some(Place { room: self.0.clone(), places })
+    }
+    /// Waits until so many are free; who asks for more than there are gets them once nobody holds any.
+    pub async fn wait_for(&self, places: usize) -> Place {
+        loop {
+            let mut freed = pin!(self.0.freed.notified());
+            freed.as_mut().enable();
+            let most = self.0.most.get();
+            if let Some(place) = self.take_some(places.min(most)) {
+                return place;
+            }
+            freed.await;
+        }
     }
     pub fn is_full(&self) -> bool {
-        self.taken.get() >= self.most.get()
+        self.taken() >= self.0.most.get()
     }
     pub fn taken(&self) -> usize {
-        self.taken.get()
+        self.0.taken.get()
     }
 }
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.room.taken.set(self.room.taken.get().saturating_sub(self.places));
+        self.room.freed.notify_waiters();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::future::Future;
+    use std::task::{Context, Poll, Waker};
+
+    #[test]
+    fn who_waits_for_more_than_is_free_gets_it_once_it_is_given_back() {
+        let room = Room::new(10);
+        let (first, second) = (room.take_some(4).unwrap(), room.take_some(4).unwrap());
+        assert!(room.take_some(3).is_none());
+        let mut waits = pin!(room.wait_for(6));
+        let mut context = Context::from_waker(Waker::noop());
+        assert!(waits.as_mut().poll(&mut context).is_pending());
+        drop(first);
+        let Poll::Ready(third) = waits.as_mut().poll(&mut context) else { panic!("six are free") };
+        assert!(room.is_full());
+        drop((second, third));
+        let mut all = pin!(room.wait_for(11));
+        assert!(all.as_mut().poll(&mut context).is_ready(), "more than there are is all there are");
+    }
+
+    #[test]
+    fn the_bounds_together_stay_within_the_limits() {
+        for (memory_mb, sockets) in [(32.0, 256), (32.0, 1024), (48.0, 384), (192.0, 1024)] {
+            let Bounds { clients, hosts, pulls, bytes } = Bounds::of(memory_mb, sockets);
+            assert!(clients + hosts + OWN_SOCKETS <= sockets);
+            let held = pulls as f64 * PULL + (bytes + clients * SMALL) as f64;
+            assert!(held <= memory_mb * 0.65 * 1024.0 * 1024.0, "{memory_mb} MB, {sockets} descriptors");
+        }
     }
 }
