Room for a client is made at once; a planned end takes in who still waits

At fault: accept() in routing/clients.rs slept 5 ms for each connection it made room for (165 a second), and serve() in program/mod.rs ended with connections still in the system's queue. Each of the two tests fails without its lines.

--- a/crates/flaxdeck-dispatcher/src/program/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/program/mod.rs
@@ -30,6 +30,8 @@
 const SPARE: Span = Span::from_ms(200);
 /// Between looks whether all is answered.
 const LOOK: Duration = Duration::from_millis(10);
+/// Looks in a row that have to find nothing left: a pull may be read between two.
+const LOOKS: u32 = 3;
 
 pub fn run() -> Result<(), String> {
     logger::start();
@@ -65,9 +67,12 @@
     }
     let told = Instant::now();
     log::info!("asked to end");
-    router.end_by(clock.now() + (carriage.longest_wait.min(WAIT_MOST) + BEFORE_KILL).less(SPARE));
-    while told.elapsed() < STAYS || router.load()[0] > 0 {
+    let ends = clock.now() + (carriage.longest_wait.min(WAIT_MOST) + BEFORE_KILL).less(SPARE);
+    router.end_by(ends);
+    let mut rests = 0;
+    while told.elapsed() < STAYS || (rests < LOOKS && clock.now() < ends + SPARE * 0.5) {
         sleep(LOOK).await;
+        rests = if router.at_rest() { rests + 1 } else { 0 };
     }
     log_line(&router);
     Ok(())
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -8,7 +8,7 @@
 use flaxdeck::words::PullId;
 use tokio::net::TcpStream;
 use tokio::task::{spawn_local, yield_now};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout};
 
 use super::Router;
 use crate::protocol::Answer;
@@ -19,7 +19,7 @@
 
 /// Pulls that one connection may have open by the protocol.
 const OPEN_MOST: usize = 32;
-/// Between looks for a free place, or after a failed accept: descriptors come free within it.
+/// The longest between looks for who can make room, and after a failed accept: descriptors come free within it.
 const PAUSE: Duration = Duration::from_millis(5);
 
 /// How long a connection may say nothing before it is the first to make room: a few trips of a far client.
@@ -40,15 +40,22 @@
     let mut clients: Vec<Weak<Client>> = Vec::new();
     loop {
         clients.retain(|client| client.strong_count() > 0);
-        if router.clients.is_full() {
-            router.make_room(&clients);
-            sleep(PAUSE).await;
-            continue;
-        }
-        match listener.accept().await {
+        let place = match router.clients.take() {
+            Some(place) => place,
+            None => {
+                router.make_room(&clients);
+                // Whoever makes room is gone at its next turn, so connections wait for no timer.
+                let Ok(place) = timeout(PAUSE, router.clients.wait_for(1)).await else { continue };
+                place
+            }
+        };
+        router.none_waits.set(true);
+        let accepted = listener.accept().await;
+        router.none_waits.set(false);
+        match accepted {
             Ok(stream) => {
                 count(Count::clients_opened);
-                clients.push(serve(&router, stream));
+                clients.push(serve(&router, stream, place));
             }
             Err(error) => {
                 count(Count::accept_errors);
@@ -73,7 +80,8 @@
             return;
         }
         let answered = |client: &Rc<Client>| client.pulls.borrow().values().all(|pull| !self.is_open(*pull));
-        let idle = |client: &Rc<Client>| answered(client) && client.closer.unread() == 0;
+        let spoke = |client: &Rc<Client>| client.spoke.get(); // a new one's first pull may be on its way
+        let idle = |client: &Rc<Client>| spoke(client) && answered(client) && client.closer.unread() == 0;
         let clients = clients.iter().filter_map(Weak::upgrade).filter(idle);
         if let Some(client) = clients.min_by_key(|client| client.quiet_since.get()) {
             count(Count::clients_closed_idle);
@@ -82,16 +90,16 @@
     }
 }
 
-fn serve(router: &Rc<Router>, stream: TcpStream) -> Weak<Client> {
+fn serve(router: &Rc<Router>, stream: TcpStream, place: Place) -> Weak<Client> {
     let session = Session::new(stream, router.names.clone(), router.bytes.clone());
     let (pulls, quiet_since, spoke) = (RefCell::default(), Cell::new(Instant::now()), Cell::new(false));
     let client = Rc::new(Client { pulls, quiet_since, spoke, closer: session.closer() });
     let weak = Rc::downgrade(&client);
-    spawn_local(listen(router.clone(), session, client, router.clients.take()));
+    spawn_local(listen(router.clone(), session, client, place));
     weak
 }
 
-async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Option<Place>) {
+async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Place) {
     loop {
         let heard = session.next().await;
         if !client.hear(&router, &session, heard) {
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -46,6 +46,8 @@
     /// Bytes that open pulls hold, asked and answered.
     bytes: Rc<Room>,
     clients: Room,
+    /// The listener has been waited at in vain: no connection is left that the system took and this process did not.
+    none_waits: Cell<bool>,
     next: Cell<u64>,
     /// The time at which the facade wants its tick has changed.
     due_changed: Notify,
@@ -74,6 +76,7 @@
             slots: Room::new(bounds.pulls),
             bytes,
             clients: Room::new(bounds.clients),
+            none_waits: Cell::new(false),
             next: Cell::new(0),
             due_changed: Notify::new(),
             later: RefCell::new(None),
@@ -86,6 +89,11 @@
         [self.slots.taken(), self.clients.taken(), self.pool.open()]
     }
 
+    /// Nothing is left to be taken in or answered.
+    pub fn at_rest(&self) -> bool {
+        self.none_waits.get() && self.slots.taken() == 0
+    }
+
     /// No pull outlasts this time.
     pub fn end_by(&self, time: Time) {
         self.report(News::Ending(time));
--- a/crates/flaxdeck-dispatcher/src/transport/room.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/room.rs
@@ -97,9 +97,6 @@
             freed.await;
         }
     }
-    pub fn is_full(&self) -> bool {
-        self.taken() >= self.0.most.get()
-    }
     pub fn taken(&self) -> usize {
         self.0.taken.get()
     }
@@ -128,7 +125,7 @@
         assert!(waits.as_mut().poll(&mut context).is_pending());
         drop(first);
         let Poll::Ready(third) = waits.as_mut().poll(&mut context) else { panic!("six are free") };
-        assert!(room.is_full());
+        assert!(room.take().is_none());
         drop((second, third));
         let mut all = pin!(room.wait_for(11));
         assert!(all.as_mut().poll(&mut context).is_ready(), "more than there are is all there are");
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -434,6 +434,36 @@
     drop((silent, later));
 }
 
+// Room for one connection in 6 ms would take over two seconds for these.
+#[test]
+fn room_for_a_client_is_made_at_once() {
+    let world = World::with(1, |config| config["limits"]["sockets"] = 60.into()); // 20 for clients
+    let start = Instant::now();
+    let mut clients: Vec<Client> = Vec::new();
+    for _ in 0..400 {
+        let mut client = world.client();
+        client.alive().unwrap();
+        client.answer().unwrap();
+        clients.push(client);
+    }
+    assert!(start.elapsed() < Duration::from_millis(1800), "{:?}", start.elapsed());
+}
+
+#[test]
+fn a_planned_end_takes_in_whoever_still_waits_to_be_accepted() {
+    let mut world = World::with(1, |config| config["limits"]["sockets"] = 60.into()); // 20 for clients
+    world.terminate();
+    thread::sleep(Duration::from_millis(560));
+    let silent: Vec<Client> = (0..20).map(|_| world.client()).collect();
+    let mut clients: Vec<Client> = (0..5).map(|_| world.client()).collect();
+    for (n, client) in (0..).zip(&mut clients) {
+        client.pull("page", &key(n), 2400, b"").unwrap();
+    }
+    clients.iter_mut().for_each(|client| drop(client.answer().unwrap()));
+    assert!(world.process.wait().unwrap().success());
+    drop(silent);
+}
+
 #[test]
 fn a_pull_under_the_id_of_an_open_one_is_no_business_of_the_hosts() {
     let world = World::start(1);
