Writes take new connections; one that died while idle is no fault of its host

Cause: pool.rs handed at-most-once pulls to kept connections, whose reset then says 'may have run'; and for each reset brain.rs cut the host's reputation by PENALTY and moved the object to a cache that lacks it.

Change: what is not reissuable asks for a new connection (HandOff::fresh). A kept connection that ends without a word is told as stale: nobody is blamed, the pull goes to the same cache at once, the host's other idle connections are dropped. Could harm: a host that ends every request without a word on kept connections is found out one leg later, on the new connection.

Both tests fail without the change.

--- a/crates/flaxdeck-dispatcher/src/protocol/lines.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/lines.rs
@@ -20,6 +20,7 @@
     /// Where a miss is filled from; none for no fill.
     pub source: Option<&'a HostId>,
     pub keep: u8,
+    pub fresh: bool,
     pub oldest: Option<Span>,
     pub join: bool,
     pub only_held: bool,
@@ -196,6 +197,7 @@
             class: "page",
             waits: Span::of_ms(0.2),
             source: Some(&source),
+            fresh: false,
             keep: 2,
             oldest: Some(Span::of_ms(1500.9)),
             join: true,
--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -31,6 +31,8 @@
     inbound: Inbound,
     outbound: Outbound,
     used: Instant,
+    /// It has been idle before.
+    reused: bool,
     _place: Place,
 }
 
@@ -158,7 +160,8 @@
     ) -> (Outcome, Option<Place>) {
         let bare = |ending| (Outcome::bare(ending), None);
         let until = Instant::now() + length(wish.waits);
-        let conn = match self.kept_idle(host) {
+        let kept = if wish.fresh { None } else { self.kept_idle(host) };
+        let conn = match kept {
             Some(conn) => conn,
             None => match self.connect(host, wish.waits).await {
                 Ok(conn) => conn,
@@ -170,7 +173,10 @@
         conn.outbound.send(lines::want(asked, &wish), [None, None]);
         if !matches!(timeout_at(until, conn.outbound.flush()).await, Ok(Ok(()))) {
             // The last byte was never written, so nothing ran; half a request ends with its connection.
-            open.conn = None;
+            if open.conn.take().is_some_and(|conn| conn.reused) {
+                self.forget_idle(host);
+                return bare(Ending::NotSent);
+            }
             count(Count::hosts_unreached);
             return bare(Ending::NotConnected);
         }
@@ -182,7 +188,10 @@
                 answered
             }
             Ok(None) => {
-                open.conn = None;
+                if open.conn.take().is_some_and(|conn| conn.reused && conn.inbound.bytes.is_empty()) {
+                    self.forget_idle(host);
+                    return bare(Ending::Stale);
+                }
                 count(Count::hosts_broken);
                 bare(Ending::Broken)
             }
@@ -204,6 +213,12 @@
         None
     }
 
+    /// One connection had died while it was idle, so the others of the host may have: the next is a new one.
+    fn forget_idle(&self, host: &HostId) {
+        count(Count::hosts_stale);
+        self.kept.borrow_mut().get_mut(host).into_iter().for_each(|kept| kept.idle.clear());
+    }
+
     async fn connect(&self, host: &HostId, waits: Span) -> Result<Conn, Ending> {
         let address = self.kept.borrow().get(host).map(|kept| kept.address).ok_or(Ending::NotSent)?;
         let place = self.place().ok_or_else(|| {
@@ -213,7 +228,8 @@
         match timeout(self.connect_within.min(length(waits)), link::connect(address)).await {
             Ok(Ok((inbound, outbound))) => {
                 count(Count::hosts_connected);
-                Ok(Conn { address, inbound, outbound, used: Instant::now(), _place: place })
+                let (used, reused) = (Instant::now(), false);
+                Ok(Conn { address, inbound, outbound, used, reused, _place: place })
             }
             Ok(Err(error)) => {
                 count(Count::hosts_refused);
@@ -240,7 +256,7 @@
     }
 
     fn keep(&self, host: &HostId, mut conn: Conn) {
-        conn.used = Instant::now();
+        (conn.used, conn.reused) = (Instant::now(), true);
         conn.inbound.rest();
         let mut kept = self.kept.borrow_mut();
         // The host may have moved while the connection was out.
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -140,6 +140,7 @@
                 waits: hand_off.allow,
                 source: Some(&hand_off.source).filter(|source| **source != hand_off.host),
                 keep: hand_off.keep,
+                fresh: hand_off.fresh,
                 oldest: hand_off.oldest,
                 join: hand_off.join,
                 only_held: hand_off.only_held,
--- a/crates/flaxdeck-dispatcher/src/transport/tally.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/tally.rs
@@ -34,6 +34,7 @@
     hosts_refused,
     hosts_unreached,
     hosts_broken,
+    hosts_stale,
     hosts_timed_out,
     hosts_malformed,
     hosts_strays,
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -493,6 +493,20 @@
     assert_eq!(world.origin.heard("want").len(), 6);
 }
 
+#[test]
+fn connections_that_die_while_idle_cost_no_write_and_move_no_object() {
+    let world = World::start(2);
+    world.hosts().for_each(|host| host.set(Manner::Once));
+    for _ in 0..8 {
+        assert!(matches!(world.pull("submit", KEY, 900, b"a form"), Answer::Served { .. }));
+        assert!(finished(&world.pull("page", KEY, 2000, b""), KEY));
+    }
+    assert_eq!(world.origin.heard("want").len(), 8);
+    let mut at: Vec<usize> = world.caches.iter().map(|cache| cache.heard("want").len()).collect();
+    at.sort();
+    assert_eq!(at, [0, 8], "the object stays where it belongs");
+}
+
 #[test]
 fn sigterm_leaves_nothing_unanswered() {
     let mut world = World::start(1);
--- a/examples/toy/src/host.rs
+++ b/examples/toy/src/host.rs
@@ -21,6 +21,8 @@
     Break,
     /// Ends the connection in the middle of an answer.
     BreakInAnswer,
+    /// Serves once on each connection and ends it when the next request comes, unread.
+    Once,
     /// Answers what nobody can read.
     Garble,
     /// Serves with an answer to somebody else ahead and its own once more behind.
@@ -89,6 +91,7 @@
         stream.set_nodelay(true)?;
         self.lock().open.push(stream.try_clone()?);
         let (mut input, mut output) = (BufReader::new(stream.try_clone()?), stream);
+        let mut wants = 0;
         loop {
             let mut line = String::new();
             if input.read_line(&mut line)? == 0 {
@@ -102,6 +105,10 @@
                 input.read_exact(&mut body)?;
                 body.truncate(body.len() - 2);
             }
+            wants += usize::from(words[0] == "want");
+            if wants > 1 && self.lock().manner == Some(Manner::Once) {
+                return output.shutdown(std::net::Shutdown::Both);
+            }
             self.lock().heard.push((line.clone(), body.clone()));
             match words[..] {
                 ["want", id, fields, _] => {
@@ -133,7 +140,7 @@
             output.write_all(&[head.as_bytes(), body, b"\r\n"].concat())
         };
         match manner {
-            Manner::Serve => say("data", &told, &body, id)?,
+            Manner::Serve | Manner::Once => say("data", &told, &body, id)?,
             Manner::Say("unchanged") => say("unchanged", &told, &[], id)?,
             Manner::Say(word) => say(word, "-", &[], id)?,
             Manner::Late(ms) => {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -344,7 +344,7 @@
         // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
         if matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed) {
             held.tried.push(out.source.clone());
-        } else if !lacking {
+        } else if !lacking && ended.ending != Stale {
             held.tried.push(out.host.clone());
         }
         let cached = self.hosts.get(&out.host).is_none_or(|host| host.is(Role::Cache));
@@ -700,6 +700,7 @@
             renew: kind.fresh.is_some() && oldest.is_none(),
             only_held,
             oldest,
+            fresh: kind.repeats != Repeats::Reissuable, // a reset there could not be made good
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
         let (leg, cost) = (Leg(held.legs), if past { work } else { kind.cost(work) });
--- a/src/words.rs
+++ b/src/words.rs
@@ -209,6 +209,8 @@
     TimedOut,
     NotConnected,
     Broken,
+    /// Broken without a word on a connection that had been idle: it may have run, and the host is no worse for it.
+    Stale,
     Cancelled,
     NotSent,
     NoCopy,
@@ -278,6 +280,8 @@
     pub only_held: bool,
     /// The oldest copy that will do; none for the workload's fresh time.
     pub oldest: Option<Span>,
+    /// Not on a connection that has been idle, which may be dead without a sign.
+    pub fresh: bool,
     /// 0 passes the object through, 1 to 3 is the rank at which it is kept.
     pub keep: u8,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -93,6 +93,22 @@
     assert_eq!(fake.sent.len(), 16, "no second copy: the cache and the source go on answering others");
 }
 
+#[test]
+fn a_connection_that_died_while_idle_is_no_fault_of_its_host() {
+    let mut fake = Fake::new(terms(), usual());
+    for object in 0..6 {
+        let at = fake.pull(0, object);
+        let cache = fake.sent[at].1.host.clone();
+        fake.end(at, Ending::Stale, Told::Nothing, 0);
+        assert_eq!(fake.sent[at + 1].1.host, cache, "at once, to the same cache");
+        fake.end(at + 1, Ending::Answered, Told::Held, 0);
+    }
+    let at = fake.pull(1, 1);
+    assert!(fake.sent[at].1.fresh);
+    fake.end(at, Ending::Stale, Told::Nothing, 0);
+    assert_eq!(fake.finals, vec![Final::Forfeited { pull: PullId(7) }], "it may have run all the same");
+}
+
 #[test]
 fn an_at_most_once_pull_that_may_have_run_is_never_sent_again_nor_bounced() {
     for ending in [Ending::TimedOut, Ending::Errored, Ending::Broken] {
