--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -100,6 +100,8 @@
     pool: &'a Rc<Pool>,
     host: &'a HostId,
     id: &'a Bytes,
+    /// Its connection serves no other, as few that could use it come by: it ends with it.
+    alone: bool,
     conn: Option<Conn>,
     written: bool,
 }
@@ -168,7 +170,8 @@
                 Err(ending) => return bare(ending),
             },
         };
-        let mut open = Open { pool: self, host, id: &asked.id, conn: Some(conn), written: false };
+        let mut open =
+            Open { pool: self, host, id: &asked.id, alone: wish.fresh, conn: Some(conn), written: false };
         let conn = open.conn.as_mut().expect("just put");
         conn.outbound.send(lines::want(asked, &wish), [None, None]);
         if !matches!(timeout_at(until, conn.outbound.flush()).await, Ok(Ok(()))) {
@@ -282,7 +285,8 @@
 
 impl Drop for Open<'_> {
     fn drop(&mut self) {
-        let Some(conn) = self.conn.take() else { return };
+        // Closing a connection gives up what is open on it.
+        let Some(conn) = self.conn.take().filter(|_| !self.alone) else { return };
         if self.written {
             spawn_local(self.pool.clone().fence(self.host.clone(), self.id.clone(), conn));
         } else if !conn.outbound.pending() && !conn.outbound.is_closed() {
