An error to a write blames nobody, as its client's own fields may be at fault

Seen from reading, measured with a story: two writes that the origin answers with an error put it under the floor, and then parents give only what they hold, for all clients, until a trial. Bad clients send such writes (ids no host knows). At fault: rate() in brain.rs blamed the host for any error. A failed fill still counts against the origin, as does a failed contact. Could harm: an origin that fails writes alone is not told from one that gets bad writes; writes go to it whatever its reputation, so nothing else hangs on that.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -381,8 +381,9 @@
 
     // The measures of the paper's tables: latency and bandwidth of each source, reputation of all.
     fn rate(&mut self, out: &Out, ended: &Ended, large: Option<f64>, cached: bool) {
-        let filled = matches!(ended.told, Told::Filled | Told::FilledThroughOrigin);
-        let behind = cached && out.source != out.host;
+        let filled = matches!(ended.told, Filled | FilledThroughOrigin);
+        let (own, errored) = (out.source == out.host, ended.ending == Errored);
+        let (behind, excused) = (cached && !own, errored && own && !cached); // a write: its client's fault?
         if ended.ending == Answered {
             let source = Some(&out.source).filter(|_| filled && behind);
             for id in [&out.host].into_iter().chain(source) {
@@ -395,12 +396,11 @@
             // A parent that the origin fails is no worse for it: the origin's reputation pays.
             (_, Told::OriginFailed) => self.origin().map(|origin| origin.line.host.clone()),
             (_, Told::SourceRefused | Told::SourceUnreached) if behind => Some(out.source.clone()),
-            (Errored | NotConnected | Broken, _) => Some(out.host.clone()),
+            (Errored | NotConnected | Broken, _) if !excused => Some(out.host.clone()),
             _ => None,
         };
         // Guards against all dispatchers losing pulls to each dead host: who can't be reached is out at once.
-        let dead =
-            matches!((ended.ending, ended.told), (NotConnected, _) | (TurnedAway, Told::SourceUnreached));
+        let dead = matches!((ended.ending, ended.told), (NotConnected, _) | (TurnedAway, SourceUnreached));
         culprit.into_iter().for_each(|id| self.blame(&id, if dead { 1.0 } else { PENALTY }));
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -109,6 +109,18 @@
     assert_eq!(fake.finals, vec![Final::Forfeited { pull: PullId(7) }], "it may have run all the same");
 }
 
+#[test]
+fn writes_that_the_origin_cannot_use_do_not_stop_the_fills_behind_it() {
+    let mut fake = Fake::new(terms(), usual());
+    for object in 0..4 {
+        let at = fake.pull(1, object);
+        assert_eq!(fake.sent[at].1.host, host("o"));
+        fake.end(at, Ending::Errored, Told::Nothing, 0);
+    }
+    let at = fake.pull(0, 9);
+    assert!(!fake.sent[at].1.only_held, "the fault may be the client's");
+}
+
 #[test]
 fn an_at_most_once_pull_that_may_have_run_is_never_sent_again_nor_bounced() {
     for ending in [Ending::TimedOut, Ending::Errored, Ending::Broken] {
