All that a client has sent is heard before any of its pulls is handed off

At fault: listen() in routing/clients.rs gave up its turn after each message, and run() in routing/pulls.rs took its first step before it looked whether the client had left. The test fails without it.

--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -93,6 +93,11 @@
         Closer(self.outbound.clone())
     }
 
+    /// Bytes have come that are not parsed yet.
+    pub fn has_more(&self) -> bool {
+        !self.inbound.bytes.is_empty()
+    }
+
     /// The client's next word; meanwhile answers are written.
     pub async fn next(&mut self) -> Heard {
         loop {
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -22,6 +22,8 @@
 /// The longest between looks for who can make room, and after a failed accept: descriptors come free within it.
 const PAUSE: Duration = Duration::from_millis(5);
 
+/// Messages of one client heard in a row before others get their turn: what it may have open, asked and taken back.
+const AT_ONCE: usize = 2 * OPEN_MOST;
 /// How long a connection may say nothing before it is the first to make room: a few trips of a far client.
 const SILENT: Duration = Duration::from_millis(250);
 
@@ -100,12 +102,19 @@
 }
 
 async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Place) {
+    let mut in_a_row = 0;
     loop {
         let heard = session.next().await;
         if !client.hear(&router, &session, heard) {
             break;
         }
-        yield_now().await; // one client that sends without end leaves the others their turns
+        in_a_row += 1;
+        // A pull may be taken back in the same breath, so all that has come is heard before any is handed off;
+        // but one client that sends without end leaves the others their turns.
+        if in_a_row == AT_ONCE || !session.has_more() {
+            in_a_row = 0;
+            yield_now().await;
+        }
     }
     client.pulls.take().into_values().for_each(|pull| router.leave(pull));
 }
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -76,18 +76,17 @@
 impl Ride {
     async fn run(mut self) {
         loop {
+            if self.seat.left.get() && self.reply.take().is_some() {
+                count(Count::left);
+                self.close();
+                self.router.report(News::Left(self.id));
+            }
             self.steps();
             if self.reply.is_none() && self.out.is_empty() {
                 break;
             }
             tokio::select! {
-                () = self.seat.stir.notified() => {
-                    if self.seat.left.get() && self.reply.take().is_some() {
-                        count(Count::left);
-                        self.close();
-                        self.router.report(News::Left(self.id));
-                    }
-                }
+                () = self.seat.stir.notified() => {}
                 Some(ended) = self.tasks.join_next() => {
                     if let Ok((leg, (outcome, held))) = ended {
                         self.ended(leg, outcome, held);
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -261,6 +261,23 @@
     }
 }
 
+#[test]
+fn pulls_taken_back_in_the_same_breath_reach_no_host() {
+    let world = World::start(1);
+    let mut client = world.client();
+    let breath = |call: u8| {
+        let id = format!("{call:016x}");
+        let fields = [("id", &*id), ("wait", "2500"), ("key", KEY), ("slice", "0")];
+        let pull = pull_message(call.into(), "page", &fields, b"");
+        [&pull[..], b"\x93\x02\xadcancelRequest\x91", &[call]].concat()
+    };
+    client.send(&(1..30).flat_map(breath).collect::<Vec<u8>>()).unwrap();
+    assert!(client.quiet_for(Duration::from_millis(200)));
+    assert!(world.caches[0].heard("want").is_empty());
+    client.pull("page", KEY, 2000, b"").unwrap();
+    assert!(finished(&client.answer().unwrap(), KEY));
+}
+
 #[test]
 fn a_client_that_leaves_takes_its_pulls_with_it() {
     let world = World::start(1);
