Reread: room for a message, and whether a connection is still good, decided in one place

A closure that only named a field is gone from make_room. Four tests opened pulls together in the same lines; they share pull_together, with their assertions and figures as before. Left as they are: msgpack's readers of arrays and maps, and numbers, which share a shape but not their tags.

--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -18,7 +18,7 @@
 use super::{Asked, Outcome, Parsed};
 use crate::transport::clock::length;
 use crate::transport::link::{self, Inbound, Outbound};
-use crate::transport::room::{Place, Room, SMALL};
+use crate::transport::room::{Place, Room};
 use crate::transport::tally::{Count, count};
 
 /// The part of the hosts' idle time after which a connection is closed here, so that both ends never race.
@@ -59,9 +59,7 @@
                 Ok(Parsed::Short(more)) => {
                     let enough = self.inbound.bytes.len() + more;
                     // Until memory is free the rest stays with the host.
-                    if enough > SMALL && held.is_none() {
-                        held = Some(pool.bytes.wait_for(enough).await);
-                    }
+                    pool.bytes.hold(enough, &mut held).await;
                     while self.inbound.bytes.len() < enough {
                         let missing = enough - self.inbound.bytes.len();
                         if !matches!(self.inbound.more(missing).await, Ok(true)) {
@@ -148,7 +146,7 @@
     /// Closes what has been idle for long, or was closed by the other side.
     pub fn sweep(&self) {
         for kept in self.kept.borrow_mut().values_mut() {
-            kept.idle.retain_mut(|conn| conn.used.elapsed() < self.idle && !conn.inbound.stale());
+            kept.idle.retain_mut(|conn| self.still_good(conn));
         }
     }
 
@@ -205,11 +203,15 @@
         }
     }
 
+    fn still_good(&self, conn: &mut Conn) -> bool {
+        conn.used.elapsed() < self.idle && !conn.inbound.stale()
+    }
+
     fn kept_idle(&self, host: &HostId) -> Option<Conn> {
         let mut kept = self.kept.borrow_mut();
         let idle = &mut kept.get_mut(host)?.idle;
         while let Some(mut conn) = idle.pop() {
-            if conn.used.elapsed() < self.idle && !conn.inbound.stale() {
+            if self.still_good(&mut conn) {
                 return Some(conn);
             }
         }
--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -10,7 +10,7 @@
 use super::rpc::{self, Said};
 use super::{Answer, Asked, Parsed};
 use crate::transport::link::{self, Inbound, Outbound};
-use crate::transport::room::{Place, Room, SMALL};
+use crate::transport::room::{Place, Room};
 use crate::transport::tally::{Count, count};
 
 /// How long a client may take nothing of what waits for it, which holds memory that others could use.
@@ -140,12 +140,9 @@
 
     async fn wait(&mut self, more: usize) -> bool {
         let (pending, reads) = (self.outbound.pending(), self.outbound.waiting() < UNREAD_MOST);
-        let enough = Some(self.inbound.bytes.len() + more).filter(|enough| *enough > SMALL);
         let (inbound, held) = (&mut self.inbound, &mut self.held);
         let read = async {
-            if let Some(enough) = enough.filter(|_| held.is_none()) {
-                *held = Some(self.bytes.wait_for(enough).await);
-            }
+            self.bytes.hold(inbound.bytes.len() + more, held).await;
             inbound.more(more).await
         };
         let whole_by = self.begun.unwrap_or(self.progress) + WHOLE;
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -21,7 +21,6 @@
 const OPEN_MOST: usize = 32;
 /// The longest between looks for who can make room, and after a failed accept: descriptors come free within it.
 const PAUSE: Duration = Duration::from_millis(5);
-
 /// Messages of one client heard in a row before others get their turn: what it may have open, asked and taken back.
 const AT_ONCE: usize = 2 * OPEN_MOST;
 /// How long a connection may say nothing before it is the first to make room: a few trips of a far client.
@@ -82,8 +81,9 @@
             return;
         }
         let answered = |client: &Rc<Client>| client.pulls.borrow().values().all(|pull| !self.is_open(*pull));
-        let spoke = |client: &Rc<Client>| client.spoke.get(); // a new one's first pull may be on its way
-        let idle = |client: &Rc<Client>| spoke(client) && answered(client) && client.closer.unread() == 0;
+        // Not one that is new: its first pull may be on its way.
+        let idle =
+            |client: &Rc<Client>| client.spoke.get() && answered(client) && client.closer.unread() == 0;
         let clients = clients.iter().filter_map(Weak::upgrade).filter(idle);
         if let Some(client) = clients.min_by_key(|client| client.quiet_since.get()) {
             count(Count::clients_closed_idle);
--- a/crates/flaxdeck-dispatcher/src/transport/room.rs
+++ b/crates/flaxdeck-dispatcher/src/transport/room.rs
@@ -97,6 +97,12 @@
             freed.await;
         }
     }
+    /// Room for a message of so many bytes, before it is read; a small one, or one that has it, takes none.
+    pub async fn hold(&self, bytes: usize, held: &mut Option<Place>) {
+        if bytes > SMALL && held.is_none() {
+            *held = Some(self.wait_for(bytes).await);
+        }
+    }
     pub fn taken(&self) -> usize {
         self.0.taken.get()
     }
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -116,6 +116,14 @@
     }
 }
 
+/// Opens so many pulls at once, of an object each, and takes their answers.
+fn pull_together(client: &mut Client, count: u32, wait: u64) -> Vec<Answer> {
+    for n in 0..count {
+        client.pull("page", &key(n), wait, b"").unwrap();
+    }
+    (0..count).map(|_| client.answer().unwrap()).collect()
+}
+
 fn finished(answer: &Answer, key: &str) -> bool {
     matches!(answer, Answer::Served { body, .. } if *body == body_of(&format!("{key}.0")))
 }
@@ -232,10 +240,7 @@
     let world = World::start(2);
     world.caches[0].set(Manner::Silent);
     let mut client = world.client();
-    for n in 0..16 {
-        client.pull("page", &key(n), 2400, b"").unwrap();
-    }
-    let answers: Vec<Answer> = (0..16).map(|_| client.answer().unwrap()).collect();
+    let answers = pull_together(&mut client, 16, 2400);
     let silent: Vec<String> = world.caches[0].heard("want").into_iter().map(|(line, _)| line).collect();
     assert!(!silent.is_empty(), "some belong to the silent host");
     for n in (0..16).filter(|n| !silent.iter().any(|line| line.contains(&key(*n)))) {
@@ -624,10 +629,7 @@
     let world = World::with(1, |config| config["limits"]["sockets"] = 42.into()); // 4 for hosts
     world.hosts().for_each(|host| host.set(Manner::Late(50)));
     let mut client = world.client();
-    for n in 0..24 {
-        client.pull("page", &key(n), 1500, b"").unwrap();
-    }
-    let answers: Vec<Answer> = (0..24).map(|_| client.answer().unwrap()).collect();
+    let answers = pull_together(&mut client, 24, 1500);
     let served = |n: &u32| answers.iter().any(|answer| finished(answer, &key(*n)));
     assert!((0..24).filter(served).count() >= 4, "what had a descriptor is finished");
 }
@@ -638,10 +640,7 @@
     let world = World::with(1, |config| config["limits"]["memory_mb"] = 5.into());
     world.hosts().for_each(|host| host.set(Manner::Late(300)));
     let mut client = world.client();
-    for n in 0..30 {
-        client.pull("page", &key(n), 2400, b"").unwrap();
-    }
-    let answers: Vec<Answer> = (0..30).map(|_| client.answer().unwrap()).collect();
+    let answers = pull_together(&mut client, 30, 2400);
     assert!((0..30).all(|n| answers.iter().any(|answer| finished(answer, &key(n)))));
 }
 
@@ -650,10 +649,7 @@
     let world = World::with(1, |config| config["limits"]["memory_mb"] = 0.5.into());
     world.hosts().for_each(|host| host.set(Manner::Late(300)));
     let mut client = world.client();
-    for n in 0..20 {
-        client.pull("page", &key(n), 2400, b"").unwrap();
-    }
-    let answers: Vec<Answer> = (0..20).map(|_| client.answer().unwrap()).collect();
+    let answers = pull_together(&mut client, 20, 2400);
     let bounced =
         answers.iter().filter(|answer| matches!(answer, Answer::Error { word, .. } if word == "Backoff"));
     assert!((10..20).contains(&bounced.count()));
