A parent that refuses a fill is full, not failed: left only for an origin that is well

Pull 310 at the first dispatcher: `D pick 310 .. first=s- .. out=1 .. rep=0.44`, `D giveup 310 .. legs=1 missed=true left=0 stop=2707`. Over all dispatchers (notes of a build for looking), seconds 20 to 25: parents out of use at one pull, most often `n=16 cold=1 .. out=14`; 2,790 fills `TurnedAway SourceRefused` after one trip (71 ms), 3,681 `NoCopy SourceLacks`, asked so because the origin counted as stopped. The parents were up: first byte 72 ms, 60 of 100 fills as before. Each dispatcher gives up a parent after two refusals and asks another, or the origin, which then fetches the same object again; so 300 dispatchers hold 300 different sets, the parents' hits fall and all sources stay full. Lines: `hand_off_ended`, where SourceRefused put the source among the tried, and `rate`, where it cost reputation.

A refusal now costs a parent no reputation, only window; its pull waits, then goes on to the origin if that is in use and its window was not narrowed on balance, else it asks the same parent again.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -408,10 +408,16 @@
         if !ended.ending.never_ran() && held.ran.is_none() {
             held.ran = Some((out.sent, out.host.clone()));
         }
+        // Guards against full parents scattering their objects: one that refuses has not failed. Its pull
+        // goes on to the origin only while that is well; another parent would fetch the object there anew.
+        let parent = self.hosts.get(&out.source).is_some_and(|host| host.is(Role::Parent));
+        let full = parent && ended.told == SourceRefused;
+        let well = |host: &Host| host.is(Role::Origin) && host.usable() && host.window >= WINDOW;
+        let moves = !full || self.hosts.values().any(well);
         // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
-        if matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed) {
+        if matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed) && moves {
             held.tried.push(out.source.clone());
-        } else if !lacking && ended.ending != Stale {
+        } else if !lacking && !full && ended.ending != Stale {
             held.tried.push(out.host.clone());
         }
         let cached = self.hosts.get(&out.host).is_none_or(|host| host.is(Role::Cache));
@@ -424,7 +430,11 @@
         let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
         self.agenda.insert(ended.pull);
         self.release(&out, &ended, cached);
-        self.rate(&out, &ended, large, cached);
+        if full {
+            self.hosts.get_mut(&out.source).into_iter().for_each(|parent| parent.widen(false));
+        } else {
+            self.rate(&out, &ended, large, cached);
+        }
         self.settle(now)
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -376,6 +376,54 @@
     assert_eq!(used, 0, "one failure is enough");
 }
 
+#[test]
+fn a_parent_that_refuses_is_full_and_its_objects_stay_with_it() {
+    let no_origin: Vec<_> = usual().into_iter().filter(|line| line.role != Role::Origin).collect();
+    let mut fake = Fake::new(terms(), no_origin);
+    let at = fake.pull(0, 1);
+    let full = fake.sent[at].1.source.clone();
+    assert!(is_parent(&full));
+    // Refused twice, the pull waits each time and asks the same parent again, not the other one.
+    for refusals in 1..3 {
+        fake.end(at + refusals - 1, Ending::TurnedAway, Told::SourceRefused, 20);
+        assert_eq!(fake.sent.len(), at + refusals, "not at once");
+        fake.pass(250);
+        assert_eq!(fake.sent[at + refusals].1.source, full);
+    }
+    fake.end(at + 2, Ending::Answered, Told::Filled, 20);
+    let used = (2..40).filter(|object| fake.fill(*object, 100.0, Told::Filled, |_| 20) == full).count();
+    assert!(used > 8, "{used} of 38: its other objects stay as well");
+}
+
+#[test]
+fn a_full_parents_pull_goes_on_to_an_origin_that_is_well_and_the_parent_stays_in_use() {
+    let mut fake = Fake::new(terms(), usual());
+    let at = fake.pull(0, 1);
+    let full = fake.sent[at].1.source.clone();
+    for object in 2..6 {
+        fake.end(fake.sent.len() - 1, Ending::TurnedAway, Told::SourceRefused, 20);
+        fake.pass(250);
+        assert_eq!(fake.sent.last().unwrap().1.source, host("o"));
+        fake.end(fake.sent.len() - 1, Ending::Answered, Told::Filled, 20);
+        let next = (object * 100..).find(|object| fake.fill(*object, 100.0, Told::Filled, |_| 20) == full);
+        fake.pull(0, next.unwrap());
+        assert_eq!(fake.sent.last().unwrap().1.source, full);
+    }
+}
+
+#[test]
+fn refusals_narrow_a_parents_window() {
+    let mut fake = Fake::new(terms(), usual().into_iter().filter(|line| line.host != host("q")).collect());
+    for object in 0..20 {
+        let at = fake.pull(0, object);
+        fake.end(at, Ending::TurnedAway, Told::SourceRefused, 20);
+    }
+    let before = fake.sent.len();
+    (100..110).for_each(|object| _ = fake.pull(0, object));
+    let fills = fake.sent[before..].iter().filter(|(_, sent)| is_parent(&sent.source)).count();
+    assert!((1..4).contains(&fills), "{fills} of 10 fills at a parent that refused them all");
+}
+
 #[test]
 fn slow_fills_narrow_the_origins_window_before_they_are_overdue() {
     let only_origin = usual().into_iter().filter(|line| line.role != Role::Parent).collect::<Vec<_>>();
