--- a/src/brain.rs
+++ b/src/brain.rs
@@ -399,6 +399,8 @@
     /// A hand-off has ended.
     pub fn hand_off_ended(&mut self, now: Time, ended: Ended) -> Decisions {
         self.now = now;
+        let well = |origin: &Host| origin.usable() && origin.window >= WINDOW;
+        let origin_well = ended.told == SourceRefused && self.origin().is_some_and(well);
         let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.settle(now) };
         let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.settle(now) };
         let out = held.out.remove(at);
@@ -412,10 +414,10 @@
         // goes on to the origin only while that is well; another parent would fetch the object there anew.
         let parent = self.hosts.get(&out.source).is_some_and(|host| host.is(Role::Parent));
         let full = parent && ended.told == SourceRefused;
-        let well = |host: &Host| host.is(Role::Origin) && host.usable() && host.window >= WINDOW;
-        let moves = !full || self.hosts.values().any(well);
         // Guards against a full link being filled again elsewhere: what failed is moved past, nothing else.
-        if matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed) && moves {
+        if matches!(ended.told, SourceRefused | SourceUnreached | SourceLacks | OriginFailed)
+            && (!full || origin_well)
+        {
             held.tried.push(out.source.clone());
         } else if !lacking && !full && ended.ending != Stale {
             held.tried.push(out.host.clone());
