A world in which a restart can hurt, and flaxdeck recovery to play it beside its twin

Need: issue 'Coming back' wants restarts played where they hurt, beside the same world with nothing of ours killed. The stand-ins had no bound on connections or lists, and clients did not ask again.

Change: hosts that hold few connections, a coordinator that answers few calls and can lose, put back or jump its numbering, clients that turn to another dispatcher and ask again by their kind (Seekers), counts by 100 ms at all stand-ins, programs that start again with the file of their first start. flaxdeck-lab::service judges full service and losses against the twin; flaxdeck recovery plays and prints it. flaxdeck-recovery begins with pure parts that no program uses yet: numbering proven by its last event, decorrelated pauses, doubt, phases.

--- a/crates/flaxdeck-cli/src/demo.rs
+++ b/crates/flaxdeck-cli/src/demo.rs
@@ -19,15 +19,8 @@
     let binary = std::env::current_exe().map_err(|error| format!("no path of this program: {error}"))?;
     let world = World::start(Layout { forwarders: FORWARDERS, ..Layout::default() })?;
     let caches = world.hosts(Kind::Cache);
-    let setup = Setup {
-        binary,
-        planners: if alone { 0 } else { 2 },
-        forwarders: FORWARDERS,
-        reserve: 0.0,
-        guided: !alone,
-        blind: "",
-        shown,
-    };
+    let planners = if alone { 0 } else { 2 };
+    let setup = Setup { shown, ..Setup::of(binary, planners, FORWARDERS) };
     let mut fleet = Fleet::start(world, setup)?;
     println!("a world of {} caches, 2 parents, an origin and a coordinator, on loopback", caches.len());
     println!("{FORWARDERS} forwarders, {}", if alone { "no planner" } else { "2 planners" });
--- a/crates/flaxdeck-cli/src/levels.rs
+++ b/crates/flaxdeck-cli/src/levels.rs
@@ -80,9 +80,7 @@
     };
     let world = World::start(layout)?;
     let (cache, parent) = (world.hosts(Kind::Cache)[0].clone(), world.hosts(Kind::Parent)[0].clone());
-    let guided = planners > 0;
-    let setup = Setup { binary, planners, forwarders, reserve: 0.0, guided, blind: "", shown: false };
-    let mut fleet = Fleet::start(world, setup)?;
+    let mut fleet = Fleet::start(world, Setup::of(binary, planners, forwarders))?;
     let begins = fleet.world.now() + 4_800.0;
     // Nine tenths of the load come to one forwarder.
     let others = rate * 0.1 / (forwarders.max(2) - 1) as f64;
--- a/crates/flaxdeck-cli/src/main.rs
+++ b/crates/flaxdeck-cli/src/main.rs
@@ -5,6 +5,7 @@
 mod files;
 mod levels;
 mod log;
+mod recovery;
 mod shapes;
 
 use std::process::ExitCode;
@@ -88,6 +89,12 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Kill and restart forwarders and planners among stand-ins, beside a twin in which nothing of ours is killed
+    ///
+    /// Prints a row for each kind of world: seconds until service is as the twin's for 5 s, pulls lost beyond the twin's
+    /// (in hand at the kill, asked while down, after the return), peaks at the stand-ins, rules broken. A run with its
+    /// twin takes about 50 seconds.
+    Recovery(recovery::Asked),
     /// Play one day of a model of the fleet in virtual time, and judge it by the rules
     Model {
         /// The model's file, see docs/comparing.md
@@ -174,6 +181,7 @@
         Command::Plan { files, name } => plan(&files, &name),
         Command::Demo { rate, alone, log } => demo::run(rate, alone, log),
         Command::Levels { forwarders, rate, runs, seed } => levels::run(&forwarders, rate, runs, seed),
+        Command::Recovery(asked) => recovery::run(&asked),
         Command::Model { file, seed } => compare::model(&file, seed),
         Command::Compare { a, b, budget_s, pairs, level, matters, kinds, seed, apart, judged, json } => {
             let budget = Duration::from_secs(budget_s);
--- a/crates/flaxdeck-cli/tests/levels.rs
+++ b/crates/flaxdeck-cli/tests/levels.rs
@@ -13,15 +13,7 @@
 const WAITS: f64 = 4_600.0;
 
 fn setup(planners: usize, forwarders: usize) -> Setup {
-    Setup {
-        binary: PathBuf::from(env!("CARGO_BIN_EXE_flaxdeck")),
-        planners,
-        forwarders,
-        reserve: 0.0,
-        guided: true,
-        blind: "",
-        shown: false,
-    }
+    Setup::of(PathBuf::from(env!("CARGO_BIN_EXE_flaxdeck")), planners, forwarders)
 }
 
 fn fleet(setup: Setup, layout: Layout) -> Fleet {
--- a/crates/flaxdeck-emulator/src/clients.rs
+++ b/crates/flaxdeck-emulator/src/clients.rs
@@ -42,10 +42,19 @@
 const CONNECTIONS: usize = 8;
 
 /// One pull with its time.
-struct Planned {
-    at: f64,
-    object: String,
-    write: bool,
+pub struct Planned {
+    pub at: f64,
+    pub object: String,
+    pub write: bool,
+}
+
+/// What a dispatcher has answered.
+pub struct Spoken {
+    pub call: u32,
+    pub how: Answer,
+    /// Milliseconds to stay away, if it told any.
+    pub after: Option<f64>,
+    pub body: Vec<u8>,
 }
 
 #[derive(Default)]
@@ -69,7 +78,8 @@
     open: Arc<AtomicU64>,
 }
 
-fn plan(load: &Load, dispatcher: usize) -> Vec<Planned> {
+/// The pulls at one dispatcher, all settled before the first is sent.
+pub fn draw(load: &Load, dispatcher: usize) -> Vec<Planned> {
     let mut chance = Pcg64Mcg::seed_from_u64(load.seed ^ (dispatcher as u64) << 32);
     let rate = load.rates.get(dispatcher).or(load.rates.last()).copied().unwrap_or(0.0);
     let mut weights = Vec::with_capacity(load.objects as usize);
@@ -100,7 +110,7 @@
         let clients = Clients { tally: Arc::default(), open: Arc::default() };
         for (at, address) in dispatchers.iter().enumerate() {
             let mut lanes: Vec<Vec<Planned>> = (0..CONNECTIONS).map(|_| Vec::new()).collect();
-            for (n, planned) in plan(load, at).into_iter().enumerate() {
+            for (n, planned) in draw(load, at).into_iter().enumerate() {
                 lanes[n % CONNECTIONS].push(planned);
             }
             for (lane, planned) in lanes.into_iter().enumerate() {
@@ -167,7 +177,7 @@
             open.lock()
                 .expect("no holder panics")
                 .insert(call, Open { object: object.clone(), sent: now, write: writes });
-            if write.write_all(&message(call, &pull, &object, writes, wait)).await.is_err() {
+            if write.write_all(&message(call, &pull, &object, writes, wait, false)).await.is_err() {
                 break;
             }
         }
@@ -190,7 +200,7 @@
     }
 }
 
-fn message(call: u32, pull: &str, object: &str, writes: bool, wait: u64) -> Vec<u8> {
+pub fn message(call: u32, pull: &str, object: &str, writes: bool, wait: u64, again: bool) -> Vec<u8> {
     let text = |text: &str| Value::from(text);
     let kb = kb_of(object).to_string();
     let fields = [
@@ -200,8 +210,10 @@
         ("slice", "0"),
         ("set", "7"),
         ("kb", &*kb),
+        ("retry", "1"),
     ]
     .map(|(name, value)| (text(name), text(value)));
+    let fields = &fields[..fields.len() - usize::from(!again)];
     let class = if writes { "submit" } else { "page" };
     let body = if writes { b"a form".to_vec() } else { Vec::new() };
     let arguments = Value::Array(vec![Value::Map(fields.to_vec()), Value::Binary(body)]);
@@ -213,61 +225,66 @@
 
 async fn hear(
     world: Arc<Inside>,
-    mut read: OwnedReadHalf,
+    mut from: OwnedReadHalf,
     name: usize,
     open: Arc<Mutex<HashMap<u32, Open>>>,
     tally: Arc<Mutex<Tally>>,
     _over: mpsc::Sender<()>,
 ) {
-    let mut bytes = Vec::new();
-    let mut piece = vec![0; 64 * 1024];
-    loop {
-        let Ok(count @ 1..) = read.read(&mut piece).await else { return };
+    let (mut bytes, mut piece) = (Vec::new(), vec![0; 64 * 1024]);
+    while let Ok(count @ 1..) = from.read(&mut piece).await {
         bytes.extend_from_slice(&piece[..count]);
-        loop {
-            let mut rest = &bytes[..];
-            let Ok(value) = rmpv::decode::read_value(&mut rest) else { break };
-            let used = bytes.len() - rest.len();
-            bytes.drain(..used);
-            if answered(&world, name, &open, &tally, &value).is_err() {
-                return;
-            }
+        while let Some(spoken) = read(&mut bytes) {
+            let Ok(spoken) = spoken else { return };
+            answered(&world, name, &open, &tally, spoken);
         }
     }
 }
 
+/// Takes one whole answer out of the head of the buffer; none while there is none.
+pub fn read(bytes: &mut Vec<u8>) -> Option<io::Result<Spoken>> {
+    let mut rest = &bytes[..];
+    let value = rmpv::decode::read_value(&mut rest).ok()?;
+    let used = bytes.len() - rest.len();
+    bytes.drain(..used);
+    Some(spoken(&value).ok_or_else(|| io::ErrorKind::InvalidData.into()))
+}
+
+fn spoken(value: &Value) -> Option<Spoken> {
+    let parts = value.as_array().filter(|parts| parts.len() == 4)?;
+    let call = parts[1].as_u64()? as u32;
+    if parts[2].is_nil() {
+        let body = parts[3].as_array().and_then(|result| result.first()).and_then(Value::as_slice);
+        let body = body.unwrap_or(&[]).to_vec();
+        return Some(Spoken { call, how: Answer::Finished, after: None, body });
+    }
+    let error = parts[2].as_array()?;
+    let how = match error.first().and_then(Value::as_str)? {
+        "Backoff" => Answer::Bounced,
+        "Lost" => Answer::Forfeited,
+        _ => return None,
+    };
+    let told = error.get(1).and_then(Value::as_map).into_iter().flatten();
+    let after = told.filter(|(name, _)| name.as_str() == Some("after")).find_map(|(_, value)| value.as_str());
+    Some(Spoken { call, how, after: after.and_then(|after| after.parse().ok()), body: Vec::new() })
+}
+
 fn answered(
     world: &Inside,
     name: usize,
     open: &Mutex<HashMap<u32, Open>>,
     tally: &Mutex<Tally>,
-    value: &Value,
-) -> io::Result<()> {
-    let bad = || io::Error::from(io::ErrorKind::InvalidData);
-    let parts = value.as_array().filter(|parts| parts.len() == 4).ok_or_else(bad)?;
-    let call = parts[1].as_u64().ok_or_else(bad)? as u32;
+    spoken: Spoken,
+) {
     let now = world.now();
-    let asked = open.lock().expect("no holder panics").remove(&call);
-    let how = if !parts[2].is_nil() {
-        let word = parts[2].as_array().and_then(|error| error.first()).and_then(Value::as_str).unwrap_or("");
-        match word {
-            "Backoff" => Answer::Bounced,
-            "Lost" => Answer::Forfeited,
-            _ => return Err(bad()),
+    let asked = open.lock().expect("no holder panics").remove(&spoken.call);
+    if let Some(asked) = asked.filter(|_| spoken.how == Answer::Finished) {
+        match made_of(&asked.object, &spoken.body) {
+            Some(_) if asked.write => {}
+            Some(made) => world.see(Seen::Copy { object: asked.object.clone(), sent: asked.sent, made }),
+            None => tally.lock().expect("no holder panics").wrong_bytes += 1,
         }
-    } else {
-        let body =
-            parts[3].as_array().and_then(|result| result.first()).and_then(Value::as_slice).unwrap_or(&[]);
-        if let Some(asked) = &asked {
-            match made_of(&asked.object, body) {
-                Some(_) if asked.write => {}
-                Some(made) => world.see(Seen::Copy { object: asked.object.clone(), sent: asked.sent, made }),
-                None => tally.lock().expect("no holder panics").wrong_bytes += 1,
-            }
-            tally.lock().expect("no holder panics").took.push(now - asked.sent);
-        }
-        Answer::Finished
-    };
-    world.see(Seen::Answered { pull: format!("{name:08x}{call:08x}"), how });
-    Ok(())
+        tally.lock().expect("no holder panics").took.push(now - asked.sent);
+    }
+    world.see(Seen::Answered { pull: format!("{name:08x}{:08x}", spoken.call), how: spoken.how });
 }
--- a/crates/flaxdeck-emulator/src/coordinator.rs
+++ b/crates/flaxdeck-emulator/src/coordinator.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
 
-use crate::world::{HostState, Inside, Kind};
+use crate::world::{HostState, Inside, Kind, State};
 
 const QUIET: Duration = Duration::from_secs(1);
 
@@ -22,8 +22,12 @@
 
 async fn feed(world: &Inside, mut stream: TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    let run = world.lock().coordinator_run;
     let mut number = [0; 8];
     stream.read_exact(&mut number).await?;
+    if !answers(world) {
+        return Ok(());
+    }
     let mut last = u64::from_be_bytes(number);
     loop {
         let stirred = world.stir.notified();
@@ -31,8 +35,10 @@
         stirred.as_mut().enable();
         let (news, mute) = {
             let state = world.lock();
-            let news = state.frames.iter().filter(|(number, _)| *number > last).cloned();
-            (news.collect::<Vec<_>>(), state.mute)
+            if state.coordinator_run != run {
+                return Ok(());
+            }
+            (news(&state, last), state.mute)
         };
         if mute {
             stirred.await;
@@ -48,6 +54,29 @@
     }
 }
 
+/// Whether a call is answered; one over what the coordinator serves finds its connection closed.
+fn answers(world: &Inside) -> bool {
+    let (now, every) = (world.now(), 1000.0 / world.layout.lists_per_s);
+    let mut state = world.lock();
+    let taken = state.next_call <= now;
+    if taken {
+        state.next_call = now.max(state.next_call) + every;
+    }
+    let pulse = state.pulse(now);
+    pulse.list_calls += 1;
+    pulse.lists_refused += u32::from(!taken);
+    taken
+}
+
+/// What follows that number; to who names one that was never given out, the whole list as it stands.
+fn news(state: &State, last: u64) -> Vec<(u64, Vec<u8>)> {
+    let whole = state.lists.last().filter(|(number, _)| last > state.known && *number <= state.known);
+    match whole {
+        Some((_, list)) => vec![(state.known, frame(state.known, 1, list))],
+        None => state.frames.iter().filter(|(number, _)| *number > last).cloned().collect(),
+    }
+}
+
 pub fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
     let length = (9 + payload.len()) as u32;
     [&length.to_be_bytes()[..], &number.to_be_bytes(), &[kind], payload].concat()
@@ -71,3 +100,9 @@
     record.extend(host.started.map_or(0, |at| world.unix_ms(at)).to_be_bytes());
     record
 }
+
+/// All hosts that are listed.
+pub fn whole(world: &Inside, state: &State) -> Vec<u8> {
+    let listed = state.hosts.iter().filter(|(_, host)| host.state < 2);
+    listed.flat_map(|(id, host)| record(world, id, host)).collect()
+}
--- a/crates/flaxdeck-emulator/src/fleet.rs
+++ b/crates/flaxdeck-emulator/src/fleet.rs
@@ -38,6 +38,12 @@
     HostManner(String, Manner),
     Purge(String),
     MuteCoordinator(bool),
+    /// The coordinator restarts and numbers from 1 again.
+    LoseNumbering,
+    /// It restarts from what it knew so many events ago.
+    PutBackCoordinator(u64),
+    /// It restarts and numbers so much further on.
+    JumpAhead(u64),
 }
 
 /// A started program.
@@ -59,6 +65,16 @@
     pub blind: &'static str,
     /// Lines of the log are shown.
     pub shown: bool,
+    /// A program that starts again finds the configuration of its first start, not one that tells what came since.
+    pub first_file: bool,
+}
+
+impl Setup {
+    /// Guided forwarders and planners, with the defaults of the plan file.
+    pub fn of(binary: PathBuf, planners: usize, forwarders: usize) -> Setup {
+        let (reserve, guided, blind) = (0.0, planners > 0, "");
+        Setup { binary, planners, forwarders, reserve, guided, blind, shown: false, first_file: false }
+    }
 }
 
 pub struct Fleet {
@@ -125,14 +141,22 @@
         )
     }
 
+    /// What the world says now, or what that file has said since its first start.
+    fn config(&self, path: &Path, coordinator: SocketAddr) -> Result<serde_json::Value, String> {
+        let old = std::fs::read_to_string(path).ok().filter(|_| self.setup.first_file);
+        let Some(old) = old else { return Ok(self.world.config(coordinator)) };
+        serde_json::from_str(&old).map_err(|error| format!("{}: {error}", path.display()))
+    }
+
     fn start_planner(&mut self, at: usize) -> Result<(), String> {
         // Its own port is chosen at the first start and kept; the others' do not matter to it.
         let own = self.planner_addresses[at].port();
         let plan = self.plan(&self.planner_addresses, |other| if other == at { own } else { 0 });
         let plan_path = self.folder.join(format!("planner{at}.plan"));
         write(&plan_path, &plan)?;
-        let config_path = self.folder.join("planner.json");
-        write(&config_path, &self.world.config(self.world.coordinator).to_string())?;
+        let config_path = self.folder.join(format!("planner{at}.json"));
+        let config = self.config(&config_path, self.world.coordinator)?;
+        write(&config_path, &config.to_string())?;
         let mut command = Command::new(&self.setup.binary);
         command.args(["plan", "--name", &format!("p{at}"), "--config"]).arg(config_path);
         command.arg("--plan").arg(plan_path);
@@ -148,7 +172,7 @@
         let plan_path = self.folder.join(format!("forwarder{at}.plan"));
         write(&plan_path, &plan)?;
         let config_path = self.folder.join(format!("forwarder{at}.json"));
-        let mut config = self.world.config(self.coordinator_wires[at].address);
+        let mut config = self.config(&config_path, self.coordinator_wires[at].address)?;
         config["seed"] = format!("{:016x}", 0xaa00 + at).into();
         // A restarted forwarder comes back where its clients look for it.
         if let Some(old) = &self.forwarders[at] {
@@ -247,6 +271,9 @@
             Fault::HostManner(host, manner) => self.world.manner(host, *manner),
             Fault::Purge(object) => self.world.purge(object),
             Fault::MuteCoordinator(mute) => self.world.mute(*mute),
+            Fault::LoseNumbering => self.world.lose_numbering(),
+            Fault::PutBackCoordinator(events) => self.world.put_back(*events),
+            Fault::JumpAhead(events) => self.world.jump_ahead(*events),
         }
         Ok(())
     }
--- a/crates/flaxdeck-emulator/src/hosts.rs
+++ b/crates/flaxdeck-emulator/src/hosts.rs
@@ -29,16 +29,37 @@
             () = over(&world, &id, run) => return,
         };
         let Ok((stream, _)) = accepted else { continue };
+        if !let_in(&world, &id) {
+            continue;
+        }
         let (world, id) = (world.clone(), id.clone());
         tokio::spawn(async move {
             tokio::select! {
                 _ = attend(&world, &id, stream) => {}
                 () = over(&world, &id, run) => {}
             }
+            if let Some(host) = world.lock().hosts.get_mut(&id).filter(|host| host.run == run) {
+                host.connections = host.connections.saturating_sub(1);
+            }
         });
     }
 }
 
+/// Whether a host takes one more connection; books it.
+fn let_in(world: &Inside, id: &str) -> bool {
+    let (now, most) = (world.now(), world.layout.host_connections);
+    let mut state = world.lock();
+    let Some(host) = state.hosts.get_mut(id) else { return false };
+    let taken = host.connections < most;
+    host.connections += u32::from(taken);
+    let held = host.connections;
+    let pulse = state.pulse(now);
+    pulse.connects += 1;
+    pulse.turned_away += u32::from(!taken);
+    pulse.held_most = pulse.held_most.max(held);
+    taken
+}
+
 async fn over(world: &Inside, id: &str, run: u64) {
     loop {
         let stirred = world.stir.notified();
@@ -193,12 +214,19 @@
             return None;
         }
     };
-    let in_hand = {
+    let (now, in_hand) = (world.now(), {
         let mut state = world.lock();
         let host = state.hosts.get_mut(id)?;
         host.in_hand = host.in_hand.saturating_sub(1);
         host.in_hand
-    };
+    });
+    if ended.is_ok() && field("class") != "submit" {
+        let mut state = world.lock();
+        let cache = state.hosts.get(id).is_some_and(|host| host.kind == Kind::Cache);
+        let pulse = state.pulse(now);
+        pulse.cache_answers += u32::from(cache);
+        pulse.cache_hits += u32::from(cache && told == "how=hit");
+    }
     let stats = format!("stats=outstanding:{in_hand};x0:0.5;x1:0.1");
     Some(match ended {
         Ok(body) => {
@@ -262,7 +290,16 @@
 ) -> Result<(f64, bool), &'static str> {
     let kb = kb_of(object) as f64;
     let wait = |ms: f64| sleep(std::time::Duration::from_secs_f64(ms / 1000.0));
-    let until = match take(world, source, kb) {
+    let taken = take(world, source, kb);
+    {
+        let now = world.now();
+        let mut state = world.lock();
+        let origin = state.hosts.get(source).is_some_and(|host| host.kind == Kind::Origin);
+        let pulse = state.pulse(now);
+        pulse.origin_fills += u32::from(origin && matches!(taken, Taken::Until(_)));
+        pulse.origin_refused += u32::from(origin && matches!(taken, Taken::Full));
+    }
+    let until = match taken {
         Taken::Until(until) => until,
         Taken::Full | Taken::Failed => return Err("src_refused"),
         Taken::Gone => return Err("src_broke"),
--- a/crates/flaxdeck-emulator/src/lib.rs
+++ b/crates/flaxdeck-emulator/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 mod hosts;
 mod proxy;
+mod seekers;
 mod world;
 
 use std::net::SocketAddr;
@@ -16,9 +17,10 @@
 pub use clients::{Clients, Load, Told};
 use flaxdeck_rules::{Seen, Terms, Verdict};
 pub use proxy::{Proxy, Wire};
+pub use seekers::{End, Fate, Patience, Seekers};
 use tokio::runtime::Runtime;
 use world::{HostState, Inside};
-pub use world::{Kind, Layout, Manner};
+pub use world::{Kind, Layout, Manner, PULSE, Pulse};
 
 /// Threads of the stand-ins.
 const THREADS: usize = 3;
@@ -53,6 +55,7 @@
                 world.open(&format!("s-{:08x}", first + n), kind, places)?;
             }
         }
+        world.list_anew(1);
         Ok(world)
     }
 
@@ -81,6 +84,7 @@
             spent: 0.0,
             handled: 0,
             state: 0,
+            connections: 0,
         };
         self.inside.lock().hosts.insert(id.to_owned(), host);
         self.runtime.spawn(hosts::serve(self.inside.clone(), id.to_owned(), listener, 0));
@@ -115,6 +119,55 @@
         Clients::start(&self.inside, dispatchers, load)
     }
 
+    pub fn seekers(&self, dispatchers: &[SocketAddr], load: &Load, kinds: &[Patience]) -> Seekers {
+        let _entered = self.runtime.enter();
+        Seekers::start(&self.inside, dispatchers, load, kinds)
+    }
+
+    /// Counts at all stand-ins, by tenths of a second since the world began.
+    pub fn pulses(&self) -> Vec<Pulse> {
+        self.inside.lock().pulses.clone()
+    }
+
+    /// The coordinator's one event is the list as it stands, under that number.
+    fn list_anew(&self, number: u64) {
+        let mut state = self.inside.lock();
+        let list = coordinator::whole(&self.inside, &state);
+        state.known = number;
+        state.frames = vec![(number, coordinator::frame(number, 1, &list))];
+        state.lists = vec![(number, list)];
+    }
+
+    /// The coordinator starts anew: what it was told is told by it as event 1, and its connections end.
+    pub fn lose_numbering(&self) {
+        self.list_anew(1);
+        self.end_conversations();
+    }
+
+    /// The coordinator starts anew from what it knew so many events ago, and goes on numbering from there.
+    pub fn put_back(&self, events: u64) {
+        {
+            let mut state = self.inside.lock();
+            let known = state.known.saturating_sub(events).max(1);
+            state.known = known;
+            state.frames.retain(|(number, _)| *number <= known);
+            state.lists.retain(|(number, _)| *number <= known);
+        }
+        self.end_conversations();
+    }
+
+    /// The coordinator starts anew and numbers far ahead of what it did.
+    pub fn jump_ahead(&self, events: u64) {
+        let known = self.inside.lock().known;
+        self.list_anew(known + events);
+        self.end_conversations();
+    }
+
+    fn end_conversations(&self) {
+        self.inside.lock().coordinator_run += 1;
+        self.inside.stir.notify_waiters();
+    }
+
     /// The coordinator says how a host stands now, and the record knows of it from then on.
     fn tell(&self, id: &str, seen: Option<Seen>) {
         let now = self.now();
@@ -125,6 +178,8 @@
             state.known += 1;
             let known = state.known;
             state.frames.push((known, coordinator::frame(known, 2, &payload)));
+            let list = coordinator::whole(&self.inside, &state);
+            state.lists.push((known, list));
             state.record.extend(seen.map(|seen| (now, seen)));
         }
         self.inside.stir.notify_waiters();
@@ -171,7 +226,7 @@
             let host = state.hosts.get_mut(id).ok_or("a host went")?;
             host.run += 1;
             (host.up, host.started, host.manner, host.state) = (true, Some(now), Manner::Serve, 0);
-            (host.in_hand, host.spent) = (0, 0.0);
+            (host.in_hand, host.spent, host.connections) = (0, 0.0, 0);
             host.held.clear();
             host.work.clear();
             host.busy.fill(0.0);
--- a/crates/flaxdeck-emulator/src/world.rs
+++ b/crates/flaxdeck-emulator/src/world.rs
@@ -50,6 +50,10 @@
     pub origin_latency: f64,
     pub memory_mb: u32,
     pub sockets: u32,
+    /// Connections that a host holds at once; further ones are closed as they come.
+    pub host_connections: u32,
+    /// Calls a second that the coordinator answers; it closes the others.
+    pub lists_per_s: f64,
 }
 
 impl Default for Layout {
@@ -69,6 +73,8 @@
             origin_latency: 25.0,
             memory_mb: 64,
             sockets: 512,
+            host_connections: u32::MAX,
+            lists_per_s: f64::INFINITY,
         }
     }
 }
@@ -92,6 +98,41 @@
     pub spent: f64,
     pub handled: u64,
     pub state: u8,
+    pub connections: u32,
+}
+
+/// What came to all stand-ins of a kind within one tenth of a second.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Pulse {
+    /// Connections opened at caches, parents and the origin, and those that they closed as too many.
+    pub connects: u32,
+    pub turned_away: u32,
+    /// The most connections that any host held.
+    pub held_most: u32,
+    /// Calls at the coordinator, those that it closed, and bytes of lists that it sent.
+    pub list_calls: u32,
+    pub lists_refused: u32,
+    pub list_bytes: u32,
+    /// Fills at the origin, and those that it refused.
+    pub origin_fills: u32,
+    pub origin_refused: u32,
+    /// Answers of caches, and those of them from what was held.
+    pub cache_answers: u32,
+    pub cache_hits: u32,
+}
+
+/// Milliseconds of one pulse.
+pub const PULSE: f64 = 100.0;
+
+impl State {
+    /// The count of the tenth of a second at that time.
+    pub fn pulse(&mut self, now: f64) -> &mut Pulse {
+        let at = (now / PULSE) as usize;
+        if self.pulses.len() <= at {
+            self.pulses.resize(at + 1, Pulse::default());
+        }
+        &mut self.pulses[at]
+    }
 }
 
 /// What stands still or moves in one world.
@@ -107,6 +148,13 @@
     pub fell_over: u64,
     /// Objects with the time of their last purge.
     pub purged: HashMap<String, f64>,
+    pub pulses: Vec<Pulse>,
+    /// The whole list as it stood after each event, for a coordinator that is put back.
+    pub lists: Vec<(u64, Vec<u8>)>,
+    /// Counts the coordinator's restarts: connections of an earlier one end.
+    pub coordinator_run: u64,
+    /// When the coordinator can answer the next call.
+    pub next_call: f64,
 }
 
 pub struct Inside {
@@ -130,6 +178,10 @@
             fills_at_origin: 0,
             fell_over: 0,
             purged: HashMap::new(),
+            pulses: Vec::new(),
+            lists: Vec::new(),
+            coordinator_run: 0,
+            next_call: 0.0,
         };
         Arc::new(Inside {
             layout,
--- a/crates/flaxdeck-lab/src/lib.rs
+++ b/crates/flaxdeck-lab/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod pairs;
 mod sequence;
+pub mod service;
 
 pub use pairs::{Comparison, Figure, Limits, compare};
 pub use sequence::{Sequence, Verdict};
--- /dev/null
+++ b/crates/flaxdeck-lab/src/service.rs
@@ -0,0 +1,134 @@
+//! How service comes back after a restart, judged against a twin: the same world, seed, load and faults at hosts with
+//! no process of ours killed. Pure: wants and counts go in, times and losses come out.
+
+/// One slice of time, of wants by when they were first asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Slice {
+    pub wants: u64,
+    /// Finished within the promised time of their first try.
+    pub in_time: u64,
+    pub bounced: u64,
+    /// Answers of caches, and those from what they held.
+    pub answers: u64,
+    pub hits: u64,
+    /// Connections that hosts closed as too many.
+    pub turned_away: u64,
+}
+
+/// Milliseconds of a slice.
+pub const SLICE: f64 = 500.0;
+/// Service counts as full once this many slices in a row are like the twin's: 5 s.
+const LASTING: usize = 10;
+/// By how much shares in time and bounced may differ, and the least of the twin's hits.
+const WITHIN: f64 = 0.005;
+const HITS: f64 = 0.97;
+
+impl Slice {
+    fn share(self, of: u64) -> f64 {
+        of as f64 / (self.wants.max(1)) as f64
+    }
+
+    fn like(self, twin: Slice) -> bool {
+        let in_time = twin.share(twin.in_time) - self.share(self.in_time);
+        let bounced = self.share(self.bounced) - twin.share(twin.bounced);
+        let hits = |slice: Slice| slice.hits as f64 / slice.answers.max(1) as f64;
+        in_time <= WITHIN
+            && bounced <= WITHIN
+            && hits(self) >= HITS * hits(twin)
+            && self.turned_away <= twin.turned_away
+    }
+}
+
+/// How long after `up` (the moment from which all processes run again) service was full; none if it never was for
+/// long enough. The slices begin at the same moment as `up` is counted from.
+pub fn full_service(played: &[Slice], twin: &[Slice], up: f64) -> Option<f64> {
+    let first = (up / SLICE).ceil() as usize;
+    let both: Vec<bool> = played.iter().zip(twin).map(|(played, twin)| played.like(*twin)).collect();
+    let starts = first..both.len().saturating_sub(LASTING - 1);
+    let full = starts.into_iter().find(|from| both[*from..from + LASTING].iter().all(|like| *like))?;
+    // One that is like the twin from the first slice on counts from the moment itself.
+    Some(if full == first { 0.0 } else { full as f64 * SLICE - up })
+}
+
+/// Wants that did not come in time beyond the twin's, by when they were first asked for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Lost {
+    /// Before the kill: in hand when it came.
+    pub in_hand: f64,
+    pub while_down: f64,
+    pub after: f64,
+}
+
+pub fn lost(played: &[Slice], twin: &[Slice], killed: f64, up: f64) -> Lost {
+    let mut lost = Lost::default();
+    for (at, (played, twin)) in played.iter().zip(twin).enumerate() {
+        let begins = at as f64 * SLICE;
+        let missed = |slice: &Slice| slice.wants as f64 - slice.in_time as f64;
+        let beyond = missed(played) - missed(twin);
+        // The slice that ends with the kill holds what was in hand then, as far as it was lost.
+        *if begins + SLICE <= killed {
+            &mut lost.in_hand
+        } else if begins < up {
+            &mut lost.while_down
+        } else {
+            &mut lost.after
+        } += beyond;
+    }
+    lost
+}
+
+/// The median and the worst of some figures; what never came counts as worse than any.
+pub fn median_and_worst(figures: &[Option<f64>]) -> [Option<f64>; 2] {
+    let mut sorted: Vec<f64> = figures.iter().map(|figure| figure.unwrap_or(f64::INFINITY)).collect();
+    sorted.sort_by(f64::total_cmp);
+    let told = |at: usize| sorted.get(at).copied().filter(|figure| figure.is_finite());
+    [told(sorted.len() / 2), told(sorted.len().saturating_sub(1))]
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn slices(in_time: &[u64]) -> Vec<Slice> {
+        let slice = |in_time| Slice { wants: 1000, in_time, answers: 1000, hits: 900, ..Slice::default() };
+        in_time.iter().map(|in_time| slice(*in_time)).collect()
+    }
+
+    #[test]
+    fn service_is_full_once_it_stays_like_the_twins_and_not_at_a_lucky_slice() {
+        let twin = slices(&[999; 20]);
+        let mut played = vec![999; 20];
+        played[4] = 500;
+        played[5] = 990;
+        played[7] = 980;
+        assert_eq!(full_service(&slices(&played), &twin, 2_000.0), Some(2_000.0));
+        assert_eq!(full_service(&twin, &twin, 2_000.0), Some(0.0));
+        played[15] = 900;
+        assert_eq!(full_service(&slices(&played), &twin, 2_000.0), None, "too short a time to tell");
+        // A dip that the twin has as well is not ours.
+        let mut low = vec![999; 20];
+        (low[5], low[6]) = (700, 800);
+        assert_eq!(full_service(&slices(&low), &slices(&low), 2_000.0), Some(0.0));
+    }
+
+    #[test]
+    fn fewer_hits_or_connections_turned_away_are_not_full_service() {
+        let twin = slices(&[999; 12]);
+        for spoil in [|slice: &mut Slice| slice.hits = 860, |slice: &mut Slice| slice.turned_away = 1] {
+            let mut played = twin.clone();
+            spoil(&mut played[0]);
+            assert_eq!(full_service(&played, &twin, 0.0), Some(SLICE));
+        }
+    }
+
+    #[test]
+    fn losses_are_told_by_when_they_were_asked_for() {
+        let (twin, mut played) = (slices(&[1000; 8]), slices(&[1000; 8]));
+        for (at, in_time) in [(1, 990), (2, 900), (3, 950), (4, 999)] {
+            played[at].in_time = in_time;
+        }
+        let lost = lost(&played, &twin, 1_000.0, 2_000.0);
+        assert_eq!(lost, Lost { in_hand: 10.0, while_down: 150.0, after: 1.0 });
+        assert_eq!(median_and_worst(&[Some(1.0), None, Some(3.0)]), [Some(3.0), None]);
+    }
+}
--- /dev/null
+++ b/crates/flaxdeck-recovery/src/lib.rs
@@ -0,0 +1,15 @@
+//! What an instance that comes back may believe, and how it comes back without a stampede: facts and the time go in,
+//! decisions come out; no I/O, no clock. The reasons are in `docs/coming-back.md`.
+//!
+//! - [`numbering`]: whether the coordinator still speaks the numbering that is known here, and what follows if not.
+//! - [`doubt`]: which lines of a list that came instead of what followed may be used.
+//! - [`pace`]: pauses between the calls that instances make by themselves, out of step with each other.
+//! - [`phase`]: how far an instance has come back, and whether it takes clients yet.
+
+pub mod doubt;
+pub mod numbering;
+pub mod pace;
+pub mod phase;
+
+pub use numbering::Mark;
+pub use pace::Pace;
--- /dev/null
+++ b/crates/flaxdeck-recovery/src/numbering.rs
@@ -0,0 +1,275 @@
+//! The coordinator's events are numbered, and a number alone says little: a coordinator that restarted, or was put
+//! back from a backup, gives the same numbers to other events. So each link asks from one before the last event that
+//! is known, and what comes first has to be that event, to the hash. It comes at once, which also tells an instance
+//! that starts that it is current, long before the coordinator's next empty frame.
+
+use flaxdeck::words::{Span, Time};
+use serde::{Deserialize, Serialize};
+
+/// With nothing more for so long after what followed, all that the coordinator has is taken to have come. Its protocol
+/// has no end mark but the empty frame a second later; a burst that stalls for longer than this is taken for two.
+const SETTLES: Span = Span::from_ms(30);
+
+/// An event by its number and a hash of what it tells; without events both are zero.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Mark {
+    pub number: u64,
+    pub hash: u64,
+}
+
+impl Mark {
+    pub const NONE: Mark = Mark { number: 0, hash: 0 };
+}
+
+/// What may have been told to nobody here: all since then, until it is applied that the numbering is another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Doubt {
+    /// When the old numbering was last known to be whole here; none if it never was.
+    pub since: Option<Time>,
+    /// The link was whole up to its end, so that nothing that was told before is missing.
+    pub heard_to_the_end: bool,
+}
+
+/// What to do with an event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// It follows what is known.
+    Apply,
+    /// It is known already.
+    Skip,
+    /// A whole list, in place of all that is known; with a doubt if that was more than a file's.
+    Adopt(Option<Doubt>),
+    /// It can't follow: end the link and ask again.
+    AskAgain(Why),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Why {
+    /// Another event bears the number of the last one known.
+    OtherEvent,
+    /// Something is missing in between.
+    Gap,
+    /// The coordinator has nothing where the last one known should be.
+    Nothing,
+    /// Changes came where the whole list should be.
+    NoList,
+}
+
+struct Link {
+    asked: u64,
+    proven: bool,
+    /// When something last came on it.
+    heard: Time,
+}
+
+/// What is known of the coordinator's numbering.
+pub struct Numbering {
+    last: Mark,
+    link: Option<Link>,
+    /// The next link asks for everything.
+    from_the_start: bool,
+    /// Something of it was proven in this run: before, all is a file's.
+    sure: Option<Time>,
+    /// The last proven link ended by its end, not by silence.
+    ended_whole: bool,
+}
+
+impl Numbering {
+    pub fn new(last: Mark) -> Numbering {
+        Numbering { last, link: None, from_the_start: false, sure: None, ended_whole: false }
+    }
+
+    pub fn last(&self) -> Mark {
+        self.last
+    }
+
+    /// When the numbering was last known to be whole here.
+    pub fn sure(&self) -> Option<Time> {
+        self.sure
+    }
+
+    /// A link has come up: the number to name on it.
+    pub fn ask(&mut self, now: Time) -> u64 {
+        let asked = if self.from_the_start { 0 } else { self.last.number.saturating_sub(1) };
+        self.link = Some(Link { asked, proven: false, heard: now });
+        asked
+    }
+
+    /// The link has ended, by the other side's end or by a silence.
+    pub fn ended(&mut self, by_silence: bool) {
+        if self.link.take().is_some_and(|link| link.proven) {
+            self.ended_whole = !by_silence;
+        }
+    }
+
+    /// An event has come on the link.
+    pub fn heard(&mut self, now: Time, mark: Mark, whole: bool) -> Next {
+        let Some(link) = &mut self.link else { return Next::Skip };
+        link.heard = now;
+        let next = if link.proven { self.on_proven(mark) } else { self.on_first(now, mark, whole) };
+        match next {
+            Next::Apply | Next::Adopt(_) => self.last = mark,
+            Next::AskAgain(_) => self.link = None,
+            Next::Skip => {}
+        }
+        if self.link.as_ref().is_some_and(|link| link.proven) {
+            self.sure = Some(now);
+        }
+        next
+    }
+
+    fn on_proven(&self, mark: Mark) -> Next {
+        match mark.number {
+            number if number == self.last.number + 1 => Next::Apply,
+            number if number <= self.last.number => Next::Skip, // somebody else brought it first
+            _ => Next::AskAgain(Why::Gap),
+        }
+    }
+
+    // The first event of a link proves the numbering, replaces it, or has all asked for.
+    fn on_first(&mut self, _now: Time, mark: Mark, whole: bool) -> Next {
+        let Some(link) = &mut self.link else { return Next::Skip };
+        if mark == self.last && (whole || link.asked > 0) {
+            (link.proven, self.from_the_start) = (true, false);
+            return Next::Skip;
+        }
+        if whole {
+            (link.proven, self.from_the_start) = (true, false);
+            let since = self.sure;
+            let doubt = since.map(|_| Doubt { since, heard_to_the_end: self.ended_whole });
+            return Next::Adopt(doubt);
+        }
+        if link.asked == 0 {
+            return Next::AskAgain(Why::NoList);
+        }
+        self.from_the_start = true;
+        let why = if mark.number == self.last.number { Why::OtherEvent } else { Why::Gap };
+        Next::AskAgain(why)
+    }
+
+    /// An empty frame has come. On a link that has proven nothing it says that the coordinator lacks the last event
+    /// known: the link has to be ended.
+    pub fn alive(&mut self, now: Time) -> Next {
+        let Some(link) = &mut self.link else { return Next::Skip };
+        link.heard = now;
+        if link.proven {
+            self.sure = Some(now);
+            return Next::Skip;
+        }
+        // Asked for everything and given nothing, it has no list yet; asking again soon would not help either.
+        self.from_the_start = true;
+        self.link = None;
+        Next::AskAgain(Why::Nothing)
+    }
+
+    /// Somebody who knows the same numbering brought the event that follows.
+    pub fn relayed(&mut self, after: Mark, mark: Mark) -> bool {
+        let follows = after == self.last && mark.number == after.number + 1;
+        if follows {
+            self.last = mark;
+        }
+        follows
+    }
+
+    /// Whether all that the coordinator has told has come, as far as can be seen.
+    pub fn current(&self, now: Time) -> bool {
+        self.link.as_ref().is_some_and(|link| link.proven && now.since(link.heard) >= SETTLES)
+    }
+
+    /// When that will be if nothing more comes; none on a link that has proven nothing.
+    pub fn current_at(&self) -> Option<Time> {
+        self.link.as_ref().filter(|link| link.proven).map(|link| link.heard + SETTLES)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn at(ms: u64) -> Time {
+        Time::at_ms(1_000.0 + ms as f64)
+    }
+
+    fn mark(number: u64, hash: u64) -> Mark {
+        Mark { number, hash }
+    }
+
+    /// Known up to 20 and proven.
+    fn known() -> Numbering {
+        let mut numbering = Numbering::new(mark(20, 7));
+        assert_eq!(numbering.ask(at(0)), 19);
+        assert_eq!(numbering.heard(at(1), mark(20, 7), false), Next::Skip);
+        numbering
+    }
+
+    #[test]
+    fn the_last_event_again_proves_the_numbering_at_once() {
+        let mut numbering = known();
+        assert!(!numbering.current(at(1)) && numbering.current(at(40)));
+        assert_eq!(numbering.heard(at(50), mark(21, 8), false), Next::Apply);
+        assert!(!numbering.current(at(51)), "more may be on its way");
+        assert_eq!(numbering.heard(at(52), mark(23, 8), false), Next::AskAgain(Why::Gap));
+        assert_eq!(numbering.ask(at(60)), 20);
+    }
+
+    #[test]
+    fn a_coordinator_that_numbers_from_one_again_is_noticed_before_it_has_come_as_far() {
+        let mut numbering = known();
+        numbering.ended(false);
+        numbering.ask(at(100));
+        let doubt = Doubt { since: Some(at(1)), heard_to_the_end: true };
+        assert_eq!(numbering.heard(at(101), mark(1, 9), true), Next::Adopt(Some(doubt)));
+        assert_eq!(numbering.heard(at(102), mark(2, 9), false), Next::Apply);
+    }
+
+    #[test]
+    fn one_that_has_come_further_than_before_is_noticed_by_the_other_event() {
+        let mut numbering = known();
+        numbering.ended(true);
+        numbering.ask(at(100));
+        assert_eq!(numbering.heard(at(101), mark(20, 8), false), Next::AskAgain(Why::OtherEvent));
+        assert_eq!(numbering.ask(at(102)), 0, "the whole of it");
+        let doubt = Doubt { since: Some(at(1)), heard_to_the_end: false };
+        assert_eq!(numbering.heard(at(103), mark(1, 8), true), Next::Adopt(Some(doubt)));
+        assert_eq!(numbering.last(), mark(1, 8));
+    }
+
+    #[test]
+    fn one_that_says_nothing_of_a_number_it_does_not_know_is_asked_for_all() {
+        let mut numbering = known();
+        numbering.ended(false);
+        numbering.ask(at(100));
+        assert_eq!(numbering.alive(at(1_100)), Next::AskAgain(Why::Nothing));
+        assert_eq!(numbering.ask(at(1_200)), 0);
+    }
+
+    #[test]
+    fn one_that_jumps_far_ahead_gives_its_list_or_is_asked_for_it() {
+        let mut numbering = known();
+        numbering.ended(false);
+        numbering.ask(at(100));
+        assert!(matches!(numbering.heard(at(101), mark(900, 1), true), Next::Adopt(Some(_))));
+        let mut numbering = known();
+        numbering.ended(false);
+        numbering.ask(at(100));
+        assert_eq!(numbering.heard(at(101), mark(900, 1), false), Next::AskAgain(Why::Gap));
+        assert_eq!(numbering.ask(at(102)), 0);
+    }
+
+    #[test]
+    fn what_a_planner_brings_counts_only_if_it_follows_in_this_numbering() {
+        let mut numbering = known();
+        assert!(!numbering.relayed(mark(20, 6), mark(21, 1)), "another numbering's");
+        assert!(!numbering.relayed(mark(19, 1), mark(20, 7)), "known");
+        assert!(numbering.relayed(mark(20, 7), mark(21, 1)));
+        assert_eq!(numbering.heard(at(9), mark(21, 1), false), Next::Skip);
+        assert_eq!(numbering.heard(at(9), mark(22, 1), false), Next::Apply);
+    }
+
+    #[test]
+    fn a_files_numbering_that_turns_out_another_is_no_doubt_of_ours() {
+        let mut numbering = Numbering::new(mark(1, 3));
+        numbering.ask(at(0));
+        assert_eq!(numbering.heard(at(1), mark(1, 4), true), Next::Adopt(None));
+    }
+}
