A client that speaks while answers wait for it is no longer closed as stalled

That node's counters, nothing else logged: 1540.019 open: pulls=16 clients=85 hosts=25; ... clients_closed_idle=16709 pulls=75862 ... 1550.019 open: pulls=12 clients=85 hosts=27; ... clients_closed_idle=16814 clients_stalled=1 pulls=76352 ... and clients_stalled stands nowhere else in the three logs: the only connection closed as stalled held the two pulls.

Ruled out: connections closed to make room. Clients that never spoke, half messages, malformed ones: their counters are not in the logs.

To blame: Session::wait. Its progress moved on only when a waiting answer was partly written, or when something began to wait while nothing was to be read; if a client spoke in the same moment, the branch that read won, and the next round compared a progress from long before with 3 s and closed the connection at once.

Change: since when a client takes nothing is kept where it is written, in Outbound. And, found by the way with a test that failed each time: a client midway through a write, whose first piece had been read, was closed to make room.

--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -1,5 +1,6 @@
 //! One client's connection.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -44,9 +45,9 @@
     /// Room for bytes, and what a message takes of it that is not whole yet.
     bytes: Rc<Room>,
     held: Option<Place>,
-    progress: Instant,
     /// Since when a message is awaited that has to come: one that has begun, or the first of all.
     begun: Option<Instant>,
+    midway: Rc<Cell<bool>>,
 }
 
 /// The one answer that a pull gets; it can be given once only.
@@ -64,29 +65,38 @@
 }
 
 /// What the outside sees of a session, and ends it by.
-pub struct Closer(Outbound);
+pub struct Closer {
+    outbound: Outbound,
+    /// A message has come in part.
+    midway: Rc<Cell<bool>>,
+}
 
 impl Closer {
     pub fn close(&self) {
-        self.0.close();
+        self.outbound.close();
+    }
+
+    /// The client is midway through a message.
+    pub fn is_midway(&self) -> bool {
+        self.midway.get()
     }
 
     /// The client has said something that was not read yet.
     pub fn has_unread(&self) -> bool {
-        self.0.has_unread()
+        self.outbound.has_unread()
     }
 
     /// Answers that the client has not taken yet.
     pub fn unread(&self) -> usize {
-        self.0.waiting()
+        self.outbound.waiting()
     }
 }
 
 impl Session {
     pub fn new(stream: TcpStream, names: Rc<Names>, bytes: Rc<Room>) -> Session {
         let (inbound, outbound) = link::split(stream);
-        let now = Instant::now();
-        Session { inbound, outbound, names, bytes, held: None, progress: now, begun: Some(now) }
+        let (held, begun, midway) = (None, Some(Instant::now()), Rc::default());
+        Session { inbound, outbound, names, bytes, held, begun, midway }
     }
 
     /// What answers the pull of that number, with the place that it holds until the answer is written.
@@ -95,7 +105,7 @@
     }
 
     pub fn closer(&self) -> Closer {
-        Closer(self.outbound.clone())
+        Closer { outbound: self.outbound.clone(), midway: self.midway.clone() }
     }
 
     /// Bytes have come that are not parsed yet.
@@ -127,6 +137,7 @@
                 }
                 Ok(Parsed::Short(more)) => {
                     self.inbound.rest();
+                    self.midway.set(!self.inbound.bytes.is_empty());
                     if !self.inbound.bytes.is_empty() {
                         self.begun.get_or_insert_with(Instant::now);
                     }
@@ -150,27 +161,22 @@
             self.bytes.hold(inbound.bytes.len() + more, held).await;
             inbound.more(more).await
         };
-        let whole_by = self.begun.unwrap_or(self.progress) + WHOLE;
+        let whole_by = self.begun.map(|begun| begun + WHOLE);
+        // Counted from when something began to wait: a connection may have been up for long by then.
+        let stalled = self.outbound.stuck_since().map(|since| since + STALLED);
+        let now = Instant::now;
         tokio::select! {
             read = read, if reads => matches!(read, Ok(true)),
-            () = sleep_until(whole_by), if reads && self.begun.is_some() => {
+            () = sleep_until(whole_by.unwrap_or_else(now)), if reads && whole_by.is_some() => {
                 count(Count::clients_not_whole);
                 false
             }
-            written = self.outbound.step(), if pending => {
-                self.progress = Instant::now();
-                written.is_ok()
-            }
-            () = sleep_until(self.progress + STALLED), if pending => {
+            written = self.outbound.step(), if pending => written.is_ok(),
+            () = sleep_until(stalled.unwrap_or_else(now)), if stalled.is_some() => {
                 count(Count::clients_stalled);
                 false
             }
-            () = self.outbound.stirred() => {
-                if !pending {
-                    self.progress = Instant::now();
-                }
-                true
-            }
+            () = self.outbound.stirred() => true,
         }
     }
 }
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -73,7 +73,7 @@
         // After a pause of this process its clients' words may lie unread: who has said one is not silent.
         let silent = |client: &Rc<Client>| {
             let quiet = client.quiet_since.get().elapsed() > SILENT;
-            !client.spoke.get() && quiet && !client.closer.has_unread()
+            !client.spoke.get() && quiet && !client.closer.has_unread() && !client.closer.is_midway()
         };
         let mut found = false;
         for client in clients.iter().filter_map(Weak::upgrade).filter(silent) {
@@ -91,6 +91,7 @@
                 && answered(client)
                 && client.closer.unread() == 0
                 && !client.closer.has_unread()
+                && !client.closer.is_midway()
         };
         let clients = clients.iter().filter_map(Weak::upgrade).filter(idle);
         if let Some(client) = clients.min_by_key(|client| client.quiet_since.get()) {
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -624,6 +624,58 @@
     assert!(clients[0].ended());
 }
 
+// How long a client has taken nothing counts from when something began to wait for it, however long its connection has
+// been up by then, and whatever it says meanwhile.
+#[test]
+fn a_client_that_reads_late_and_speaks_meanwhile_is_not_taken_for_stalled() {
+    let world = World::start(1);
+    let mut clients: Vec<Client> = (0..10).map(|_| world.client()).collect();
+    clients.iter_mut().for_each(|client| assert!(client.pull("page", KEY, 2400, b"").is_ok()));
+    clients.iter_mut().for_each(|client| assert!(finished(&client.answer().unwrap(), KEY)));
+    thread::sleep(Duration::from_millis(3200));
+    // The origin gives a write back: in all more than the system takes for a client that does not read. As more writes
+    // come all the time, there is something to be read at the moment when something begins to wait.
+    let tell = |mut client: Client| {
+        thread::spawn(move || {
+            let mut reads = client.again().unwrap();
+            let writes = thread::spawn(move || {
+                (0..250).filter(|_| client.pull("submit", KEY, 2900, &[7; 40_000]).is_ok()).count()
+            });
+            thread::sleep(Duration::from_millis(700));
+            let answers = (0..250).take_while(|_| reads.answer().is_ok()).count();
+            (writes.join().unwrap(), answers)
+        })
+    };
+    let told: Vec<_> = clients.into_iter().map(tell).collect();
+    for (n, client) in told.into_iter().enumerate() {
+        assert_eq!(client.join().unwrap(), (250, 250), "client {n} lost its connection");
+    }
+}
+
+// A write comes in pieces; one whose first piece has been read is no idle connection's.
+#[test]
+fn a_client_midway_through_a_write_is_not_closed_to_make_room() {
+    let world = World::with(1, |config| config["limits"]["sockets"] = 60.into());
+    let mut writes = world.client();
+    writes.pull("page", KEY, 2400, b"").unwrap();
+    assert!(finished(&writes.answer().unwrap(), KEY));
+    let fields = [("id", "9b1f03aa5c7e2d41"), ("wait", "2500"), ("key", KEY), ("slice", "0")];
+    let message = pull_message(9, "submit", &fields, &[7; 4000]);
+    writes.send(&message[..1000]).unwrap();
+    thread::sleep(Duration::from_millis(50));
+    let later: Vec<Client> = (0..40)
+        .map(|n| {
+            let mut client = world.client();
+            client.pull("page", &key(n), 2400, b"").unwrap();
+            assert!(finished(&client.answer().unwrap(), &key(n)));
+            client
+        })
+        .collect();
+    writes.send(&message[1000..]).unwrap();
+    assert!(matches!(writes.answer().unwrap(), Answer::Served { body, .. } if body == [7; 4000]));
+    drop(later);
+}
+
 #[test]
 fn a_client_that_takes_no_answers_costs_its_own_places_only() {
     let world = World::with(1, |config| config["limits"]["memory_mb"] = 30.into());
--- a/crates/flaxdeck-net/src/link.rs
+++ b/crates/flaxdeck-net/src/link.rs
@@ -11,6 +11,7 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use super::room::Place;
 
@@ -61,6 +62,8 @@
 struct Queue {
     parcels: VecDeque<Parcel>,
     closed: bool,
+    /// Since when the other side has taken nothing of what waits for it; none while nothing waits.
+    stuck_since: Option<Instant>,
 }
 
 /// The writing side, shared by all that write to the connection.
@@ -77,7 +80,7 @@
         log::debug!("TCP_NODELAY not set: {error}");
     }
     let stream = Rc::new(stream);
-    let queue = Rc::new(RefCell::new(Queue { parcels: VecDeque::new(), closed: false }));
+    let queue = Rc::new(RefCell::new(Queue { parcels: VecDeque::new(), closed: false, stuck_since: None }));
     let inbound = Inbound { stream: stream.clone(), bytes: BytesMut::new() };
     (inbound, Outbound { stream, queue, stir: Rc::new(Notify::new()) })
 }
@@ -111,6 +114,11 @@
         self.queue.borrow().parcels.len()
     }
 
+    /// Since when the other side has taken nothing of what waits for it; none while nothing waits.
+    pub fn stuck_since(&self) -> Option<Instant> {
+        self.queue.borrow().stuck_since
+    }
+
     pub fn is_closed(&self) -> bool {
         self.queue.borrow().closed
     }
@@ -156,11 +164,18 @@
             let used = pieces.zip(&mut slices).map(|(piece, slice)| *slice = IoSlice::new(piece)).count();
             if used == 0 {
                 queue.parcels.clear();
+                queue.stuck_since = None;
                 return Ok(());
             }
             match self.stream.try_write_vectored(&slices[..used]) {
-                Ok(count) => queue.written(count),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Ok(count) => {
+                    queue.written(count);
+                    queue.stuck_since = None;
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    queue.stuck_since.get_or_insert_with(Instant::now);
+                    return Ok(());
+                }
                 Err(error) => return Err(error),
             }
         }
@@ -186,3 +201,39 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::Duration;
+    use tokio::net::TcpListener;
+    use tokio::time::sleep;
+
+    // A connection may have been up for long when something begins to wait on it.
+    #[test]
+    fn a_client_is_stuck_from_when_it_takes_no_more_and_not_from_before() {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let (near, far) = tokio::join!(connect(listener.local_addr().unwrap()), listener.accept());
+            let ((_inbound, outbound), (far, _)) = (near.unwrap(), far.unwrap());
+            let begun = Instant::now();
+            sleep(Duration::from_millis(30)).await;
+            outbound.send([Bytes::from_static(b"small")], [None, None]);
+            assert_eq!(outbound.stuck_since(), None, "taken at once");
+            outbound.send([Bytes::from(vec![0; 16 << 20])], [None, None]);
+            let first = outbound.stuck_since().unwrap();
+            assert!(first >= begun + Duration::from_millis(30));
+            let mut taken = vec![0; 4 << 20];
+            while outbound.stuck_since() == Some(first) {
+                far.readable().await.unwrap();
+                let _ = far.try_read(&mut taken); // none there yet is a spurious wake-up
+                tokio::select! {
+                    stepped = outbound.step() => stepped.unwrap(),
+                    () = sleep(Duration::from_millis(1)) => {}
+                }
+            }
+            assert!(outbound.stuck_since().is_none_or(|since| since > first), "it took something");
+        });
+    }
+}
--- a/examples/toy/src/client.rs
+++ b/examples/toy/src/client.rs
@@ -54,6 +54,11 @@
     }
 
     /// Asks for part 0 of an object; gives the number of the call.
+    /// The same connection once more, for a thread that reads beside one that writes.
+    pub fn again(&self) -> io::Result<Client> {
+        Ok(Client { stream: self.stream.try_clone()?, next: self.next })
+    }
+
     pub fn pull(&mut self, class: &str, key: &str, wait_ms: u64, body: &[u8]) -> io::Result<u32> {
         let (call, wait) = (self.next, wait_ms.to_string());
         let id = self.id(call);
