--- a/crates/flaxdeck-cli/src/files.rs
+++ b/crates/flaxdeck-cli/src/files.rs
@@ -50,15 +50,17 @@
 }
 
 impl World {
-    /// The feed from the coordinator, and what it has said already.
-    pub fn feed(&self) -> Result<(Feed, Numbered), String> {
+    /// The feed from the coordinator, and what it has said already, for an instance of that name.
+    pub fn feed(&self, name: &str) -> Result<(Feed, Numbered), String> {
         let feed = || {
             let fields = Fields::of(&self.value, "the whole")?;
             let (_, names) = flaxdeck_terms::read(&fields.inner("settings")?)?;
             let address = fields.text("coordinator")?;
             let address: SocketAddr =
                 address.parse().map_err(|_| format!("coordinator: {address} is no address"))?;
-            Feed::start(address, &fields.inner("known")?, Rc::new(names))
+            let seed = u64::from_str_radix(fields.text("seed")?, 16).map_err(|_| "seed is not in hex")?;
+            let seed = name.bytes().fold(seed, |seed, byte| seed.rotate_left(8) ^ u64::from(byte));
+            Feed::start(address, &fields.inner("known")?, Rc::new(names), false, seed)
         };
         feed().map_err(|fault: String| format!("{}: {fault}", self.file))
     }
--- a/crates/flaxdeck-cli/src/main.rs
+++ b/crates/flaxdeck-cli/src/main.rs
@@ -17,6 +17,7 @@
 use flaxdeck_guidance::Parts;
 use flaxdeck_guidance::forwarder::Stance;
 use flaxdeck_lab::Limits;
+use flaxdeck_net::clock;
 use flaxdeck_plan::{Blind, LogForm, Plan};
 
 /// Exit codes that scripts can use: 0 done, 1 failed while running, 2 a file or the command line has faults.
@@ -160,6 +161,9 @@
     /// The operator's plan, in S-expressions; without one a forwarder goes by its own picture alone
     #[arg(long)]
     plan: Option<String>,
+    /// Run with a wall clock so many milliseconds ahead, for tests
+    #[arg(long, hide = true, default_value_t = 0, allow_hyphen_values = true)]
+    clock_apart_ms: i64,
 }
 
 /// What ends the program, with its exit code.
@@ -209,6 +213,7 @@
 }
 
 fn forward(files: &Files) -> Result<(), Stop> {
+    clock::run_apart(files.clock_apart_ms);
     let Some(plan) = &files.plan else {
         let _log = log::start("info", LogForm::Text)?;
         return Ok(flaxdeck_dispatcher::run_guided(Some(&files.config), None)?);
@@ -226,6 +231,7 @@
 }
 
 fn plan(files: &Files, name: &str) -> Result<(), Stop> {
+    clock::run_apart(files.clock_apart_ms);
     let file = files.plan.as_ref().ok_or_else(|| faulty("a planner needs --plan FILE"))?;
     let (plan, key) = files::plan(file)?;
     let names: Vec<&str> = plan.planners.iter().map(|planner| &*planner.name).collect();
@@ -239,7 +245,7 @@
     let pledges = files::pledges(&plan, world.window);
     let (name, listen) = (planner.name.clone(), planner.listen);
     let start = || {
-        let (feed, known) = world.feed()?;
+        let (feed, known) = world.feed(&name)?;
         Ok(flaxdeck_planner::Start { name, listen, key, pledges, own, feed, known })
     };
     Ok(flaxdeck_planner::run(start)?)
--- /dev/null
+++ b/crates/flaxdeck-cli/tests/coming_back.rs
@@ -0,0 +1,239 @@
+//! Forwarders and planners that come back, as processes on loopback: restarted at once, told of what came meanwhile by
+//! a coordinator that may have lost its own memory, with clocks that were set. Each world's record goes to the checker
+//! of the rules.
+
+use std::path::PathBuf;
+use std::thread::sleep;
+use std::time::Duration;
+
+use flaxdeck_emulator::fleet::{Fault, Fleet, Setup};
+use flaxdeck_emulator::{End, Kind, Layout, Load, Patience, Seekers, Wire, World};
+use flaxdeck_rules::Verdict;
+
+const ALL: [Patience; 3] = [Patience::AsTold, Patience::AtOnce, Patience::GivesUp];
+
+fn setup(planners: usize, forwarders: usize) -> Setup {
+    let binary = PathBuf::from(env!("CARGO_BIN_EXE_flaxdeck"));
+    Setup { guided: true, blind: "(blind (after-ms 900))", ..Setup::of(binary, planners, forwarders) }
+}
+
+fn fleet(setup: Setup, layout: Layout) -> Fleet {
+    let world = World::start(Layout { forwarders: setup.forwarders, ..layout }).unwrap();
+    Fleet::start(world, setup).unwrap()
+}
+
+/// Clients from now on, for so long, with so many pulls a second at each forwarder.
+fn clients(fleet: &Fleet, rate: f64, lasts: f64) -> (Seekers, f64) {
+    let begins = fleet.world.now() + 200.0;
+    let load = Load {
+        seed: 5,
+        rates: vec![rate],
+        objects: 300,
+        power: 0.8,
+        writes: 0.05,
+        from_ms: begins,
+        to_ms: begins + lasts,
+        wait_ms: 2_500,
+        names_from: 0,
+    };
+    (fleet.world.seekers(&fleet.addresses(), &load, &ALL), begins)
+}
+
+/// Waits for the clients and judges; every pull must be accounted for, no byte wrong and no rule broken.
+fn kept(fleet: &Fleet, clients: &Seekers) -> Verdict {
+    let limit = fleet.world.now() + 20_000.0;
+    while !clients.done() {
+        assert!(fleet.world.now() < limit, "the clients do not end");
+        sleep(Duration::from_millis(10));
+    }
+    let verdict = fleet.world.verdict();
+    assert!(verdict.all_accounted_for(), "{verdict:?}");
+    assert_eq!(clients.wrong_bytes(), 0);
+    assert_eq!(verdict.breaches, [], "{:#?}", fleet.lines());
+    verdict
+}
+
+/// The part of the wants first asked for in that time that were finished.
+fn finished(clients: &Seekers, from: f64, to: f64) -> f64 {
+    let fates: Vec<_> = clients.fates().into_iter().filter(|fate| (from..to).contains(&fate.first)).collect();
+    let finished = fates.iter().filter(|fate| matches!(fate.end, End::Finished(_))).count();
+    finished as f64 / fates.len().max(1) as f64
+}
+
+fn logged(fleet: &Fleet, words: &str) -> usize {
+    fleet.lines().iter().filter(|line| line.contains(words)).count()
+}
+
+fn all(count: usize, at: f64, fault: fn(usize) -> Fault) -> impl Iterator<Item = (f64, Fault)> {
+    (0..count).map(move |n| (at, fault(n)))
+}
+
+#[test]
+fn a_coordinator_that_forgets_its_numbers_is_followed_again_and_its_next_drain_obeyed() {
+    let mut fleet = fleet(setup(2, 2), Layout::default());
+    let caches = fleet.world.hosts(Kind::Cache);
+    let (clients, begins) = clients(&fleet, 60.0, 5_000.0);
+    let object = format!("{:016x}", 77);
+    let mut script: Vec<(f64, Fault)> =
+        (0..20).map(|n| (begins + 10.0 * f64::from(n), Fault::Purge(object.clone()))).collect();
+    script.push((begins + 1_000.0, Fault::LoseNumbering));
+    script.push((begins + 2_500.0, Fault::Drain(caches[0].clone())));
+    fleet.play(&script).unwrap();
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.latest_arrival < 1_000.0, "{verdict:?}");
+    assert!(logged(&fleet, "numbering is another") >= 4, "each of four says so: {:#?}", fleet.lines());
+    assert!(finished(&clients, begins, begins + 5_000.0) > 0.97);
+}
+
+#[test]
+fn a_coordinator_put_back_from_a_backup_brings_no_withdrawn_host_into_use() {
+    let mut fleet = fleet(setup(2, 2), Layout::default());
+    let caches = fleet.world.hosts(Kind::Cache);
+    let (clients, begins) = clients(&fleet, 60.0, 5_000.0);
+    let script = [
+        (begins + 200.0, Fault::Purge(format!("{:016x}", 77))),
+        (begins + 500.0, Fault::Drain(caches[0].clone())),
+        // From before the drain: its list has that host in service.
+        (begins + 1_000.0, Fault::PutBackCoordinator(1)),
+        (begins + 2_500.0, Fault::Drain(caches[1].clone())),
+    ];
+    fleet.play(&script).unwrap();
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.latest_arrival < 1_000.0, "{verdict:?}");
+    assert!(logged(&fleet, "1 hosts stay withdrawn in doubt") >= 2, "{:#?}", fleet.lines());
+}
+
+#[test]
+fn a_new_numbering_that_has_come_past_the_old_one_meanwhile_is_not_taken_for_it() {
+    let mut fleet = fleet(setup(0, 1), Layout::default());
+    let caches = fleet.world.hosts(Kind::Cache);
+    let (clients, begins) = clients(&fleet, 60.0, 6_000.0);
+    let mut script = vec![
+        (begins + 300.0, Fault::Purge(format!("{:016x}", 76))),
+        (begins + 500.0, Fault::CoordinatorWire(0, Wire::Cut)),
+        (begins + 600.0, Fault::LoseNumbering),
+        // Event 2 of the new numbering; it is also the number of the last event known to the forwarder.
+        (begins + 800.0, Fault::Drain(caches[0].clone())),
+        (begins + 900.0, Fault::Purge(format!("{:016x}", 78))),
+    ];
+    script.push((begins + 1_100.0, Fault::CoordinatorWire(0, Wire::Whole)));
+    fleet.play(&script).unwrap();
+    // The wire is whole again 300 ms after the drain; asked again within a second at most.
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.latest_arrival < 1_000.0, "{verdict:?}");
+    assert!(logged(&fleet, "OtherEvent") >= 1, "{:#?}", fleet.lines());
+}
+
+#[test]
+fn a_coordinator_that_numbers_far_ahead_is_followed() {
+    let mut fleet = fleet(setup(1, 2), Layout::default());
+    let caches = fleet.world.hosts(Kind::Cache);
+    let (clients, begins) = clients(&fleet, 60.0, 4_000.0);
+    let script =
+        [(begins + 500.0, Fault::JumpAhead(1_000_000)), (begins + 2_000.0, Fault::Drain(caches[0].clone()))];
+    fleet.play(&script).unwrap();
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.latest_arrival < 1_000.0, "{verdict:?}");
+}
+
+#[test]
+fn what_was_told_while_all_were_down_is_obeyed_from_the_first_pull_on() {
+    for planners in [0, 2] {
+        // Without planners nobody vouches between two words of the coordinator, a second apart.
+        let blind = if planners > 0 { "(blind (after-ms 900))" } else { "" };
+        let mut fleet = fleet(Setup { first_file: true, blind, ..setup(planners, 3) }, Layout::default());
+        let caches = fleet.world.hosts(Kind::Cache);
+        let (clients, begins) = clients(&fleet, 50.0, 5_000.0);
+        // The most asked for, purged when every cache holds it.
+        let hot = format!("{:016x}", 0x9e37_79b9_7f4a_7c15u64);
+        let mut script: Vec<(f64, Fault)> = all(3, begins + 1_500.0, Fault::KillForwarder).collect();
+        script.extend(all(planners, begins + 1_500.0, Fault::KillPlanner));
+        script.push((begins + 1_550.0, Fault::Drain(caches[0].clone())));
+        script.push((begins + 1_560.0, Fault::Purge(hot)));
+        // Over a second later nothing new may come to that host at all.
+        script.extend(all(planners, begins + 2_700.0, Fault::StartPlanner));
+        script.extend(all(3, begins + 2_700.0, Fault::StartForwarder));
+        fleet.play(&script).unwrap();
+        kept(&fleet, &clients);
+        let after = finished(&clients, begins + 3_200.0, begins + 5_000.0);
+        assert!(after > 0.98, "{after} finished half a second after the return, {planners} planners");
+    }
+}
+
+#[test]
+fn a_planner_whose_clock_was_set_back_an_hour_is_believed_at_once() {
+    let mut fleet = fleet(setup(1, 2), Layout::default());
+    let (clients, begins) = clients(&fleet, 40.0, 4_000.0);
+    let script = [
+        (begins + 500.0, Fault::KillPlanner(0)),
+        (begins + 600.0, Fault::ClocksApart(-3_600_000)),
+        (begins + 600.0, Fault::StartPlanner(0)),
+    ];
+    fleet.play(&script).unwrap();
+    kept(&fleet, &clients);
+    assert_eq!(logged(&fleet, "OldEpoch"), 0, "{:#?}", fleet.lines());
+    let guided = fleet.lines().iter().rfind(|line| line.contains("guidance is now")).cloned();
+    assert!(guided.is_some_and(|line| line.contains("now Guided")), "{:#?}", fleet.lines());
+}
+
+#[test]
+fn with_a_coordinator_of_few_lists_all_are_back_by_way_of_the_planners() {
+    let layout = Layout { lists_per_s: 3.0, ..Layout::default() };
+    let mut fleet = fleet(Setup { first_file: true, ..setup(2, 6) }, layout);
+    let caches = fleet.world.hosts(Kind::Cache);
+    sleep(Duration::from_millis(3_000)); // until the coordinator has answered all of them once
+    let (clients, begins) = clients(&fleet, 30.0, 6_000.0);
+    let mut script: Vec<(f64, Fault)> = all(6, begins + 1_000.0, Fault::KillForwarder).collect();
+    script.extend(all(2, begins + 1_000.0, Fault::KillPlanner));
+    script.push((begins + 1_100.0, Fault::Drain(caches[0].clone())));
+    script.extend(all(2, begins + 2_300.0, Fault::StartPlanner));
+    script.extend(all(6, begins + 2_300.0, Fault::StartForwarder));
+    fleet.play(&script).unwrap();
+    kept(&fleet, &clients);
+    // Eight callers at three a second would take two seconds and more; who hears a planner need not wait.
+    let after = finished(&clients, begins + 3_300.0, begins + 6_000.0);
+    assert!(after > 0.97, "{after} finished a second after the return");
+}
+
+#[test]
+fn a_forwarder_that_dies_over_and_over_and_a_second_wave_cost_the_others_nothing() {
+    let mut fleet = fleet(setup(2, 4), Layout::default());
+    let (clients, begins) = clients(&fleet, 40.0, 6_000.0);
+    let mut script = Vec::new();
+    for n in 0..10 {
+        script.push((begins + 500.0 + 400.0 * f64::from(n), Fault::KillForwarder(0)));
+        script.push((begins + 600.0 + 400.0 * f64::from(n), Fault::StartForwarder(0)));
+    }
+    // Two of the others die while the first is at it, and again while they come back.
+    for at in [1_050.0, 1_350.0] {
+        script.extend((1..3).map(|n| (begins + at, Fault::KillForwarder(n))));
+        script.extend((1..3).map(|n| (begins + at + 200.0, Fault::StartForwarder(n))));
+    }
+    script.sort_by(|a, b| a.0.total_cmp(&b.0));
+    fleet.play(&script).unwrap();
+    kept(&fleet, &clients);
+    let after = finished(&clients, begins + 4_800.0, begins + 6_000.0);
+    assert!(after > 0.99, "{after} finished once all stay up");
+}
+
+#[test]
+fn one_that_comes_back_into_a_partition_serves_by_whom_it_reaches_or_not_at_all() {
+    let mut fleet = fleet(Setup { first_file: true, ..setup(1, 3) }, Layout::default());
+    let caches = fleet.world.hosts(Kind::Cache);
+    let (clients, begins) = clients(&fleet, 40.0, 6_000.0);
+    let mut script: Vec<(f64, Fault)> = all(3, begins + 1_000.0, Fault::KillForwarder).collect();
+    script.push((begins + 1_010.0, Fault::Drain(caches[0].clone())));
+    // The first reaches the planner alone, the second the coordinator alone, the third has both open and dead.
+    for (forwarder, wires) in
+        [(0, [Wire::Cut, Wire::Whole]), (1, [Wire::Whole, Wire::Held]), (2, [Wire::Held; 2])]
+    {
+        script.push((begins + 1_100.0, Fault::CoordinatorWire(forwarder, wires[0])));
+        script.push((begins + 1_100.0, Fault::PlannerWire(forwarder, 0, wires[1])));
+    }
+    script.extend(all(3, begins + 2_200.0, Fault::StartForwarder));
+    fleet.play(&script).unwrap();
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.bounced > 0, "the third answers at once once it listens: {verdict:?}");
+    let back: Vec<String> = fleet.lines().into_iter().filter(|line| line.contains("back: ")).collect();
+    assert_eq!(back.iter().filter(|line| line.contains("Listed")).count(), 1, "{back:#?}");
+}
--- a/crates/flaxdeck-dispatcher/src/program/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/program/mod.rs
@@ -56,17 +56,24 @@
     let (mut asked_to_end, mut asked_to_reload) =
         (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
     let start::Start { address, feed, known, terms, names, carriage, bounds, seed, settings } =
-        start::read(path)?;
+        start::read(path, guidelines.is_none())?;
     let router = Router::new(clock, seed, terms, names, carriage, bounds);
     // A guided forwarder keeps to what is its own from the first list on.
     if let Some(guidelines) = guidelines {
-        router.guide_by(Epoch::new(clock.now(), std::process::id()), guidelines, feed.last());
+        let epoch = Epoch::new(clock.now(), std::process::id());
+        router.guide_by(epoch, seed, guidelines, feed.numbering());
     }
     known.into_iter().for_each(|(_, event)| router.told(event));
-    let listener = Listener::open(address).map_err(|error| format!("cannot listen at {address}: {error}"))?;
-    let at = listener.address().map_err(|error| format!("cannot listen at {address}: {error}"))?;
+    let guided = router.is_guided();
     spawn_local(router.clone().follow(feed));
     spawn_local(router.clone().keep_time());
+    // A client that finds nobody listening turns to another dispatcher; a guess or a bounce would keep it here.
+    tokio::select! {
+        () = router.comes_back() => {}
+        _ = asked_to_end.recv() => return Ok(()),
+    }
+    let listener = Listener::open(address).map_err(|error| format!("cannot listen at {address}: {error}"))?;
+    let at = listener.address().map_err(|error| format!("cannot listen at {address}: {error}"))?;
     spawn_local(router.clone().sweep());
     spawn_local(log_counters(router.clone()));
     spawn_local(accept(router.clone(), listener));
@@ -74,7 +81,7 @@
     loop {
         tokio::select! {
             _ = asked_to_end.recv() => break,
-            _ = asked_to_reload.recv() => reload(path, &router, address, &settings),
+            _ = asked_to_reload.recv() => reload(path, &router, address, &settings, guided),
         }
     }
     let told = Instant::now();
@@ -92,8 +99,8 @@
 
 /// Reads the configuration again. The coordinator, its events and the limits change in place; what can't is
 /// said, and one that can't be used changes nothing.
-fn reload(path: Option<&str>, router: &Router, address: SocketAddr, settings: &Value) {
-    let later = match start::read(path) {
+fn reload(path: Option<&str>, router: &Router, address: SocketAddr, settings: &Value, guided: bool) {
+    let later = match start::read(path, !guided) {
         Ok(later) => later,
         Err(why) => {
             count(Count::reloads_refused);
--- a/crates/flaxdeck-dispatcher/src/program/start.rs
+++ b/crates/flaxdeck-dispatcher/src/program/start.rs
@@ -25,17 +25,18 @@
     pub settings: Value,
 }
 
-/// Reads the file of that path, or else the one that the variable names.
-pub fn read(path: Option<&str>) -> Result<Start, String> {
+/// Reads the file of that path, or else the one that the variable names. A lone dispatcher trusts the coordinator's
+/// numbers, as the platform's page has it.
+pub fn read(path: Option<&str>, trusts: bool) -> Result<Start, String> {
     let named = || env::var("GW_CONFIG").map_err(|_| "GW_CONFIG is not set".to_owned());
     let path = path.map_or_else(named, |path| Ok(path.to_owned()))?;
     let text = std::fs::read(&path).map_err(|error| format!("cannot read {path}: {error}"))?;
     let value: Value =
         serde_json::from_slice(&text).map_err(|error| format!("{path} is not JSON: {error}"))?;
-    parse(&value, env::var("GW_LISTEN").ok()).map_err(|fault| format!("{path}: {fault}"))
+    parse(&value, env::var("GW_LISTEN").ok(), trusts).map_err(|fault| format!("{path}: {fault}"))
 }
 
-fn parse(value: &Value, listen: Option<String>) -> Result<Start, String> {
+fn parse(value: &Value, listen: Option<String>, trusts: bool) -> Result<Start, String> {
     let fields = Fields::of(value, "the whole")?;
     let listen = listen.map_or_else(|| fields.text("listen").map(str::to_owned), Ok)?;
     let address = listen.parse().map_err(|_| format!("listen: {listen} is no address"))?;
@@ -46,7 +47,7 @@
     let settings = fields.inner("settings")?;
     let (terms, names) = flaxdeck_terms::read(&settings).map_err(|fault| format!("settings: {fault}"))?;
     let names = Rc::new(names);
-    let (feed, known) = Feed::start(coordinator, &fields.inner("known")?, names.clone())?;
+    let (feed, known) = Feed::start(coordinator, &fields.inner("known")?, names.clone(), trusts, seed)?;
     let limits = fields.inner("limits")?;
     let bounds = Bounds::of(limits.number("memory_mb")?, limits.whole("sockets")? as usize);
     let carriage = flaxdeck_terms::carriage(&settings).map_err(|fault| format!("settings: {fault}"))?;
--- a/crates/flaxdeck-dispatcher/src/routing/guides.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/guides.rs
@@ -2,15 +2,22 @@
 //! waits for any of it. What is believed, lent and borrowed is decided in `flaxdeck-guidance`.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use flaxdeck::facade::News;
+use flaxdeck::words::*;
 use flaxdeck_guidance::forwarder::{Guide, Informed, Stance};
 use flaxdeck_guidance::membership::PlannerId;
 use flaxdeck_guidance::messages::{Epoch, Guidance};
+use flaxdeck_net::clock;
 use flaxdeck_net::tally::{Count, count};
+use flaxdeck_recovery::numbering::{Doubt, Numbering};
+use flaxdeck_recovery::phase::{Return, Unheard};
+use flaxdeck_recovery::{Mark, Pace, doubt};
+use flaxdeck_talk::feed::Event;
 use flaxdeck_talk::line::{self, Hearer, Over, Speaker};
 use flaxdeck_talk::seal::Key;
 use flaxdeck_wire::frames;
@@ -20,8 +27,9 @@
 
 use super::Router;
 
-/// Between tries to reach a planner.
-const RETRY: Duration = Duration::from_millis(250);
+/// Between tries to reach a planner: as short as a report or two at first; at most as long as a planner may be silent
+/// until its hosts' lives are another's.
+const RETRY: [Span; 2] = [Span::from_ms(150), Span::from_ms(1000)];
 
 /// What a forwarder is told of its planners at start.
 #[derive(Clone, Debug)]
@@ -36,24 +44,42 @@
     guide: RefCell<Guide>,
     speakers: RefCell<Vec<Option<Speaker>>>,
     guidelines: Guidelines,
-    /// The number of the last event applied, whoever brought it.
-    last: Rc<Cell<u64>>,
+    /// The coordinator's events as applied here, whoever brought them.
+    numbering: Rc<RefCell<Numbering>>,
+    /// The lines of hosts as last told, and which of them are doubted.
+    lines: RefCell<BTreeMap<HostId, Listed>>,
+    doubted: RefCell<doubt::Doubted>,
+    back: RefCell<Return>,
+    seed: u64,
     informed: Cell<Informed>,
     due_changed: Notify,
+    vouched: Notify,
 }
 
 impl Router {
     /// Has the router guided from now on.
-    pub fn guide_by(self: &Rc<Router>, epoch: Epoch, guidelines: Guidelines, last: Rc<Cell<u64>>) {
-        let count = guidelines.planners.len();
-        let guide = Guide::start(self.clock.now(), epoch, guidelines.stance, count as u32);
+    pub fn guide_by(
+        self: &Rc<Router>,
+        epoch: Epoch,
+        seed: u64,
+        guidelines: Guidelines,
+        numbering: Rc<RefCell<Numbering>>,
+    ) {
+        let (count, now) = (guidelines.planners.len(), self.clock.now());
+        let guide = Guide::start(now, epoch, guidelines.stance, count as u32);
+        let unheard = guidelines.stance.blind_after.map_or(Unheard::GoOn, Unheard::BounceAfter);
         let guides = Rc::new(Guides {
             guide: RefCell::new(guide),
             speakers: RefCell::new((0..count).map(|_| None).collect()),
             guidelines,
-            last,
+            numbering,
+            lines: RefCell::default(),
+            doubted: RefCell::default(),
+            back: RefCell::new(Return::begin(now, unheard)),
+            seed,
             informed: Cell::new(Informed::Alone),
             due_changed: Notify::new(),
+            vouched: Notify::new(),
         });
         *self.guides.borrow_mut() = Some(guides.clone());
         self.tell_brain(&guides);
@@ -64,6 +90,83 @@
         spawn_local(self.clone().keep_guided(guides));
     }
 
+    pub fn is_guided(&self) -> bool {
+        self.guides.borrow().is_some()
+    }
+
+    /// Waits until clients are to be taken: once somebody vouches for the list, or as the operator's file says.
+    pub async fn comes_back(&self) {
+        let Some(guides) = self.guides.borrow().clone() else { return };
+        loop {
+            let at = guides.back.borrow().listens_at();
+            if self.clock.now() >= at {
+                break;
+            }
+            tokio::select! {
+                () = sleep_until(self.clock.instant(at)) => {}
+                () = guides.vouched.notified() => {}
+            }
+        }
+        let (now, owns_from) = (self.clock.now(), guides.guide.borrow().owns_from());
+        let mut back = guides.back.borrow_mut();
+        back.listens(now);
+        let [vouched, listens] = back.took().map(|took| took.map_or(f64::NAN, Span::ms));
+        let phase = back.phase(now, owns_from);
+        log::info!(
+            "back: {phase:?}, the list vouched for after {vouched:.1} ms, clients after {listens:.1} ms"
+        );
+    }
+
+    fn keep_lines(guides: &Guides, lines: &[Listed]) {
+        guides.doubted.borrow_mut().named(lines.iter().map(|line| &line.host));
+        let told = lines.iter().map(|line| (line.host.clone(), line.clone()));
+        guides.lines.borrow_mut().extend(told);
+    }
+
+    /// Lines of hosts that an event tells are kept, to be held against a list that comes in place of what follows.
+    pub(super) fn keep_told(&self, event: &Event) {
+        let Some(guides) = self.guides.borrow().clone() else { return };
+        if let Event::Hosts(_, stations) = event {
+            let lines: Vec<Listed> = stations.iter().map(|station| station.listed.clone()).collect();
+            Router::keep_lines(&guides, &lines);
+        }
+    }
+
+    /// A whole list came in place of what should have followed: what can't be vouched for counts as in doubt.
+    pub(super) fn told_anew(&self, mark: Mark, event: Event, doubt: Option<Doubt>) {
+        let (Some(guides), Event::Hosts(coverage, mut stations)) = (self.guides.borrow().clone(), event)
+        else {
+            return;
+        };
+        let now = self.clock.now();
+        let lines: Vec<Listed> = stations.iter().map(|station| station.listed.clone()).collect();
+        let mut withheld = 0;
+        if doubt.is_some() {
+            let (lines, count) = guides.doubted.borrow_mut().adopt(now, &guides.lines.borrow(), lines);
+            withheld = count;
+            stations.iter_mut().zip(lines).for_each(|(station, line)| station.listed = line);
+        }
+        let lines = stations.iter().map(|station| (station.listed.host.clone(), station.listed.clone()));
+        *guides.lines.borrow_mut() = lines.collect();
+        let copies = doubt.and_then(|doubt| doubt::copies_from(now, doubt, self.settles));
+        if doubt.is_some() {
+            (0..withheld).for_each(|_| count(Count::hosts_doubted));
+            log::error!(
+                "the coordinator's numbering is another, event {}: its list is taken anew, {withheld} hosts stay \
+                 withdrawn in doubt, copies {}",
+                mark.number,
+                copies.map_or("are not doubted".into(), |from| format!(
+                    "from before {:.0} are doubted",
+                    from.ms()
+                ))
+            );
+        }
+        self.apply(Event::Hosts(coverage, stations));
+        if let Some(made) = copies {
+            self.report(News::Purged { object: None, group: GroupId::ALL, made });
+        }
+    }
+
     /// The coordinator itself has spoken.
     pub(super) fn coordinator_heard(&self) {
         let Some(guides) = self.guides.borrow().clone() else { return };
@@ -71,6 +174,14 @@
         if guides.informed.get() == Informed::Blind {
             self.tell_brain(&guides);
         }
+        self.note_vouched(&guides);
+    }
+
+    fn note_vouched(&self, guides: &Guides) {
+        if guides.guide.borrow().vouched().is_some() {
+            guides.back.borrow_mut().vouched(self.clock.now());
+            guides.vouched.notify_one();
+        }
     }
 
     /// How the guidance stands, in words for the log; none without.
@@ -90,7 +201,7 @@
         };
         let before = guides.informed.replace(informed);
         if before != informed {
-            let worse = matches!(informed, Informed::Blind);
+            let worse = matches!(informed, Informed::Blind) && guides.back.borrow().took()[0].is_some();
             let level = if worse { log::Level::Error } else { log::Level::Info };
             log::log!(level, "guidance is now {informed:?}, was {before:?}");
         }
@@ -113,7 +224,8 @@
                 for (at, speaker) in speakers.iter_mut().enumerate() {
                     let Some(speaker) = speaker else { continue };
                     if speaker.may_speak() {
-                        speaker.speak(&guide.report(now, PlannerId(at as u32), &sights, guides.last.get()));
+                        let last = guides.numbering.borrow().last();
+                        speaker.speak(&guide.report(now, PlannerId(at as u32), &sights, last));
                     } else {
                         count(Count::reports_skipped);
                     }
@@ -121,6 +233,15 @@
             }
             // What was lent is not used from this moment on.
             self.tell_brain(&guides);
+            let back = guides.doubted.borrow_mut().run_out(now);
+            if !back.is_empty() {
+                log::warn!(
+                    "{} hosts that were in doubt are used again: nothing more was told of them",
+                    back.len()
+                );
+                Router::keep_lines(&guides, &back);
+                self.report(News::Hosts(Coverage::Changes, back));
+            }
         }
     }
 
@@ -138,11 +259,14 @@
 
     async fn listen_to(self: Rc<Router>, guides: Rc<Guides>, at: usize) {
         let address = guides.guidelines.planners[at];
+        let mut pace = Pace::new(guides.seed ^ (at as u64 + 1) << 32, RETRY[0], RETRY[1]);
         loop {
             count(Count::planners_connects);
             match line::connect(address, &guides.guidelines.key).await {
                 Ok((speaker, hearer)) => {
                     log::info!("planner {at} at {address} is connected");
+                    pace.answered(self.clock.now());
+                    guides.guide.borrow_mut().met(PlannerId(at as u32));
                     guides.speakers.borrow_mut()[at] = Some(speaker);
                     let over = self.hear_out(&guides, at, hearer).await;
                     guides.speakers.borrow_mut()[at] = None;
@@ -154,7 +278,7 @@
                 }
                 Err(Over::Broken(why)) => log::debug!("planner {at} at {address}: {why}"),
             }
-            sleep(RETRY).await;
+            sleep(clock::length(pace.pause(self.clock.now()))).await;
         }
     }
 
@@ -164,14 +288,17 @@
                 Ok(guidance) => guidance,
                 Err(over) => return over,
             };
-            let (now, last) = (self.clock.now(), guides.last.get());
+            let (now, last) = (self.clock.now(), guides.numbering.borrow().last());
             let judged = guides.guide.borrow_mut().guided(now, PlannerId(at as u32), guidance, last);
             match judged {
                 Ok(events) => {
                     for relayed in events {
                         match frames::read(&relayed.frame, &self.names) {
                             Ok(event) => {
-                                guides.last.set(relayed.number);
+                                let last = guides.numbering.borrow().last();
+                                if !guides.numbering.borrow_mut().relayed(now, last, relayed.mark) {
+                                    break;
+                                }
                                 count(Count::events_relayed);
                                 event.into_iter().for_each(|event| self.told(event));
                             }
@@ -183,6 +310,7 @@
                         }
                     }
                     self.tell_brain(guides);
+                    self.note_vouched(guides);
                 }
                 Err(why) => {
                     count(Count::guidance_refused);
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -58,6 +58,8 @@
     later: RefCell<Option<(Feed, Numbered)>>,
     reloaded: Notify,
     guides: RefCell<Option<Rc<guides::Guides>>>,
+    /// How long it takes until hosts have dropped by themselves what was purged.
+    settles: Span,
 }
 
 impl Router {
@@ -69,7 +71,7 @@
         carriage: Carriage,
         bounds: Bounds,
     ) -> Rc<Router> {
-        let (bytes, zone) = (Rc::new(Room::new(bounds.bytes)), terms.zone);
+        let (bytes, zone, settles) = (Rc::new(Room::new(bounds.bytes)), terms.zone, terms.purge_settles);
         Rc::new(Router {
             clock,
             facade: RefCell::new(Facade::start(clock.now(), seed, terms)),
@@ -87,6 +89,7 @@
             later: RefCell::new(None),
             reloaded: Notify::new(),
             guides: RefCell::new(None),
+            settles,
         })
     }
 
@@ -136,8 +139,13 @@
         pulls.iter().filter_map(|pull| table.get(pull)).for_each(|seat| seat.stir.notify_one());
     }
 
-    /// An event of the coordinator.
+    /// An event of the coordinator that follows what is known.
     pub fn told(&self, event: Event) {
+        self.keep_told(&event);
+        self.apply(event);
+    }
+
+    fn apply(&self, event: Event) {
         match event {
             Event::Hosts(coverage, stations) => {
                 self.pool.list(coverage, &stations);
@@ -153,10 +161,14 @@
         loop {
             tokio::select! {
                 word = feed.next() => {
-                    if let Word::Event(_, _, event) = word {
-                        self.told(event);
+                    match word {
+                        Word::Alive => {}
+                        Word::Event(_, _, event) => self.told(event),
+                        Word::Anew(mark, event, doubt) => self.told_anew(mark, event, doubt),
+                    }
+                    if feed.is_current() {
+                        self.coordinator_heard();
                     }
-                    self.coordinator_heard();
                 }
                 () = self.reloaded.notified() => {
                     let Some((later, known)) = self.later.take() else { continue };
--- a/crates/flaxdeck-emulator/src/fleet.rs
+++ b/crates/flaxdeck-emulator/src/fleet.rs
@@ -24,6 +24,11 @@
     ThawPlanner(usize),
     KillForwarder(usize),
     StartForwarder(usize),
+    /// It stands still with its sockets open, until it is let go on.
+    FreezeForwarder(usize),
+    ThawForwarder(usize),
+    /// All processes that start from now on have a wall clock so many milliseconds ahead.
+    ClocksApart(i64),
     /// The wire between a forwarder and a planner.
     PlannerWire(usize, usize, Wire),
     /// The wire between a forwarder and the coordinator.
@@ -86,6 +91,7 @@
     forwarders: Vec<Option<Instance>>,
     planner_wires: Vec<Vec<Proxy>>,
     coordinator_wires: Vec<Proxy>,
+    clocks_apart: i64,
     lines: Arc<Mutex<Vec<String>>>,
 }
 
@@ -110,6 +116,7 @@
             forwarders: Vec::new(),
             planner_wires: Vec::new(),
             coordinator_wires: Vec::new(),
+            clocks_apart: 0,
             lines: Arc::default(),
         };
         for at in 0..fleet.setup.planners {
@@ -160,7 +167,8 @@
         let mut command = Command::new(&self.setup.binary);
         command.args(["plan", "--name", &format!("p{at}"), "--config"]).arg(config_path);
         command.arg("--plan").arg(plan_path);
-        let instance = self.spawn(command)?;
+        let known = Some(self.planner_addresses[at]).filter(|address| address.port() != 0);
+        let instance = self.spawn(command, known)?;
         self.planner_addresses[at] = instance.address;
         self.planners[at] = Some(instance);
         Ok(())
@@ -185,28 +193,34 @@
         } else {
             command.arg("forward").arg("--config").arg(config_path);
         }
-        self.forwarders[at] = Some(self.spawn(command)?);
+        let known = self.forwarders[at].as_ref().map(|old| old.address);
+        self.forwarders[at] = Some(self.spawn(command, known)?);
         Ok(())
     }
 
-    fn spawn(&self, mut command: Command) -> Result<Instance, String> {
+    /// Starts a program. One whose address is not known yet is waited for until it tells it; one that starts again may
+    /// take its time.
+    fn spawn(&self, mut command: Command, known: Option<SocketAddr>) -> Result<Instance, String> {
+        if self.clocks_apart != 0 {
+            command.arg("--clock-apart-ms").arg(self.clocks_apart.to_string());
+        }
         command.env_remove("GW_LISTEN").env_remove("GW_CONFIG").stdin(Stdio::null());
         let spawned = command.stdout(Stdio::null()).stderr(Stdio::piped()).spawn();
         let mut child = spawned.map_err(|error| format!("{}: {error}", self.setup.binary.display()))?;
         let stderr = child.stderr.take().ok_or("no standard error")?;
         let mut read = BufReader::new(stderr).lines().map_while(Result::ok);
         let (begun, mut said) = (Instant::now(), Vec::new());
-        let address = loop {
+        let mut address = known;
+        while address.is_none() {
             let Some(line) = read.next().filter(|_| begun.elapsed() < SOON) else {
                 let _ = (child.kill(), child.wait());
                 return Err(format!("a program has not begun: {}", said.join("\n")));
             };
-            if let Some(address) = listening(&line) {
-                break address;
-            }
+            address = listening(&line);
             said.push(line);
-        };
+        }
         let (lines, shown) = (self.lines.clone(), self.setup.shown);
+        lines.lock().expect("no holder panics").extend(said);
         thread::spawn(move || {
             for line in read {
                 if shown {
@@ -215,6 +229,7 @@
                 lines.lock().expect("no holder panics").push(line);
             }
         });
+        let address = address.ok_or("a program without an address")?;
         Ok(Instance { child, address })
     }
 
@@ -260,6 +275,13 @@
                 }
             }
             Fault::StartForwarder(at) => self.start_forwarder(*at)?,
+            Fault::FreezeForwarder(at) => {
+                self.forwarders[*at].iter().for_each(|f| Fleet::signal(&f.child, "STOP"))
+            }
+            Fault::ThawForwarder(at) => {
+                self.forwarders[*at].iter().for_each(|f| Fleet::signal(&f.child, "CONT"))
+            }
+            Fault::ClocksApart(ms) => self.clocks_apart = *ms,
             Fault::PlannerWire(forwarder, planner, wire) => {
                 self.planner_wires[*forwarder][*planner].set(*wire)
             }
--- a/crates/flaxdeck-emulator/src/lib.rs
+++ b/crates/flaxdeck-emulator/src/lib.rs
@@ -18,6 +18,7 @@
 use flaxdeck_rules::{Seen, Terms, Verdict};
 pub use proxy::{Proxy, Wire};
 pub use seekers::{End, Fate, Patience, Seekers};
+use serde_json::{Value, json};
 use tokio::runtime::Runtime;
 use world::{HostState, Inside};
 pub use world::{Kind, Layout, Manner, PULSE, Pulse};
@@ -133,6 +134,10 @@
     fn list_anew(&self, number: u64) {
         let mut state = self.inside.lock();
         let list = coordinator::whole(&self.inside, &state);
+        let listed = state.hosts.iter().filter(|(_, host)| host.state < 2);
+        let rows: Vec<Value> = listed.map(|(id, host)| self.inside.row(id, host)).collect();
+        let whole = json!({"seq": number, "whole": true, "hosts": rows});
+        state.events = vec![(number, json!({"index": number, "endpoints": whole}))];
         state.known = number;
         state.frames = vec![(number, coordinator::frame(number, 1, &list))];
         state.lists = vec![(number, list)];
@@ -152,6 +157,7 @@
             state.known = known;
             state.frames.retain(|(number, _)| *number <= known);
             state.lists.retain(|(number, _)| *number <= known);
+            state.events.retain(|(number, _)| *number <= known);
         }
         self.end_conversations();
     }
@@ -175,8 +181,11 @@
             let mut state = self.inside.lock();
             let Some(host) = state.hosts.get(id) else { return };
             let payload = coordinator::record(&self.inside, id, host);
+            let row = self.inside.row(id, host);
             state.known += 1;
             let known = state.known;
+            let change = json!({"seq": known, "whole": false, "hosts": [row]});
+            state.events.push((known, json!({"index": known, "endpoints": change})));
             state.frames.push((known, coordinator::frame(known, 2, &payload)));
             let list = coordinator::whole(&self.inside, &state);
             state.lists.push((known, list));
@@ -253,6 +262,10 @@
             let known = state.known;
             let payload = [number.to_be_bytes(), self.inside.unix_ms(now).to_be_bytes()].concat();
             state.frames.push((known, coordinator::frame(known, 3, &payload)));
+            let made = self.inside.unix_ms(now);
+            state.events.push((known, json!({"index": known, "evict": {"ref": object, "unix_ms": made}})));
+            let list = coordinator::whole(&self.inside, &state);
+            state.lists.push((known, list));
             state.purged.insert(object.to_owned(), now);
             state.record.push((now, Seen::Purged { object: object.to_owned() }));
         }
--- a/crates/flaxdeck-emulator/src/world.rs
+++ b/crates/flaxdeck-emulator/src/world.rs
@@ -139,8 +139,9 @@
 pub struct State {
     pub hosts: BTreeMap<String, HostState>,
     pub record: Vec<(f64, Seen)>,
-    /// The coordinator's numbered frames.
+    /// The coordinator's numbered frames, and the same as configurations hold them.
     pub frames: Vec<(u64, Vec<u8>)>,
+    pub events: Vec<(u64, Value)>,
     pub known: u64,
     /// The coordinator says nothing more, with its connections open.
     pub mute: bool,
@@ -173,6 +174,7 @@
             hosts: BTreeMap::new(),
             record: Vec::new(),
             frames: Vec::new(),
+            events: Vec::new(),
             known: 1,
             mute: false,
             fills_at_origin: 0,
@@ -224,29 +226,29 @@
         host.started.map_or(1.0, |started| self.ramp(host.places).part(at - started))
     }
 
+    /// A host's line as configurations hold it.
+    pub fn row(&self, id: &str, host: &HostState) -> Value {
+        let (class, site) = match host.kind {
+            Kind::Cache => ("cache", "here"),
+            Kind::Parent => ("parent", "hub"),
+            Kind::Origin => ("origin", "hub"),
+        };
+        let health = ["Ready", "Terminating", "Gone"][usize::from(host.state.min(2))];
+        let born = host.started.map_or(0, |at| self.unix_ms(at));
+        json!({"host": id, "dial": host.address.to_string(), "site": site, "class": class, "block": 0,
+            "health": health, "share": host.places, "born_ms": born})
+    }
+
     /// The configuration of one dispatcher, whose coordinator is reached at that address.
     pub fn config(&self, coordinator: SocketAddr) -> Value {
         let state = self.lock();
-        let kind = |kind| match kind {
-            Kind::Cache => "cache",
-            Kind::Parent => "parent",
-            Kind::Origin => "origin",
-        };
-        let row = |(id, host): (&String, &HostState)| {
-            let site = if host.kind == Kind::Cache { "here" } else { "hub" };
-            let born = host.started.map_or(0, |at| self.unix_ms(at));
-            json!({"host": id, "dial": host.address.to_string(), "site": site, "class": kind(host.kind),
-                "block": 0, "health": "Ready", "share": host.places, "born_ms": born})
-        };
-        let hosts: Vec<Value> = state.hosts.iter().map(row).collect();
         let layout = &self.layout;
         json!({
             "listen": "127.0.0.1:0",
             "seed": "00000000000000aa",
             "limits": {"memory_mb": layout.memory_mb, "sockets": layout.sockets},
             "coordinator": coordinator.to_string(),
-            "known": {"index": 1, "updates": [
-                {"index": 1, "endpoints": {"seq": 1, "whole": true, "hosts": hosts}}]},
+            "known": {"index": state.known, "updates": state.events.iter().map(|(_, event)| event).collect::<Vec<_>>()},
             "settings": {
                 "allowed": {"cancel": true, "conn_idle_ms": 15000.0, "connect_timeout_ms": 400.0, "max_attempts": 6,
                     "max_retry_after_ms": 2000.0, "may_duplicate": true, "retry_after": true},
--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -9,6 +9,7 @@
 use flaxdeck_guidance::messages::{Epoch, Guidance, Relayed, Report};
 use flaxdeck_guidance::planner::Planner;
 use flaxdeck_guidance::{Parts, Pledges};
+use flaxdeck_recovery::Mark;
 use flaxdeck_rules::{Answer, Ramp, Seen, Verdict};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -55,6 +56,11 @@
     pub judged: bool,
 }
 
+/// The register of the model never loses its numbering: a number is its event.
+fn mark(number: u64) -> Mark {
+    Mark { number, hash: number }
+}
+
 impl Default for Shape {
     fn default() -> Shape {
         let law =
@@ -1097,7 +1103,7 @@
             self.planners[at].listed(now, &line.host.0, started);
         }
         let frame = number.to_be_bytes().to_vec();
-        self.planners[at].coordinator(now, Some(Relayed { number, frame }));
+        self.planners[at].coordinator(now, Some(Relayed { mark: mark(number), frame }), true);
     }
 
     fn report(&mut self, n: usize, run: u32) {
@@ -1116,7 +1122,7 @@
             if self.split && at % 2 != n % 2 {
                 continue;
             }
-            reports.push((at, guide.report(now, PlannerId(at as u32), &sights, forwarder.last_event)));
+            reports.push((at, guide.report(now, PlannerId(at as u32), &sights, mark(forwarder.last_event))));
         }
         let guided = guide.hints(now);
         let decisions = forwarder.brain.guided(now, guided);
@@ -1133,8 +1139,8 @@
         let now = time(self.now);
         let last = self.forwarders[n].last_event;
         let Some(guide) = &mut self.forwarders[n].guide else { return };
-        let Ok(events) = guide.guided(now, PlannerId(planner as u32), guidance, last) else { return };
-        events.iter().for_each(|event| self.apply(n, event.number));
+        let Ok(events) = guide.guided(now, PlannerId(planner as u32), guidance, mark(last)) else { return };
+        events.iter().for_each(|event| self.apply(n, event.mark.number));
         let Some(guide) = &mut self.forwarders[n].guide else { return };
         let guided = guide.hints(now);
         let decisions = self.forwarders[n].brain.guided(now, guided);
--- a/crates/flaxdeck-guidance/examples/size.rs
+++ b/crates/flaxdeck-guidance/examples/size.rs
@@ -65,7 +65,7 @@
             };
             let report = Report {
                 envelope,
-                last_event: 0,
+                last_event: Default::default(),
                 version: round * 1_000,
                 zone: 0,
                 link: None,
@@ -99,7 +99,7 @@
         let now = at(200 * n);
         let sights = brain.sights(now);
         guide.stand(now, &sights);
-        (0..2).for_each(|to| drop(guide.report(now, PlannerId(to), &sights, 0)));
+        (0..2).for_each(|to| drop(guide.report(now, PlannerId(to), &sights, Default::default())));
         let guided = guide.hints(now);
         brain.guided(now, guided);
     }
--- a/crates/flaxdeck-guidance/src/forwarder.rs
+++ b/crates/flaxdeck-guidance/src/forwarder.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 
 use flaxdeck::words::*;
+use flaxdeck_recovery::Mark;
 
 use crate::membership::{self, Known, PlannerId, Refused};
 use crate::messages::*;
@@ -81,7 +82,8 @@
     zone: u32,
     link: Option<(f64, Time)>,
     link_told: Option<(f64, Time)>,
-    coordinator: Time,
+    /// When the coordinator itself was last heard and known to be followed; none since the start.
+    coordinator: Option<Time>,
     pub counted: Counted,
 }
 
@@ -98,20 +100,29 @@
             stance,
             known: (0..planners).map(|n| Known::new(PlannerId(n))).collect(),
             sides: (0..planners).map(side).collect(),
-            shares: Shares::new(now, stance.pledges),
+            shares: if planners > 0 {
+                Shares::new(now, stance.pledges)
+            } else {
+                Shares::lending_nothing(now, stance.pledges)
+            },
             news: BTreeMap::new(),
             others: BTreeMap::new(),
             zone: 0,
             link: None,
             link_told: None,
-            coordinator: now,
+            coordinator: None,
             counted: Counted::default(),
         }
     }
 
-    /// The coordinator itself has spoken.
+    /// A conversation with a planner has begun.
+    pub fn met(&mut self, planner: PlannerId) {
+        self.known.get_mut(planner.0 as usize).into_iter().for_each(Known::met);
+    }
+
+    /// The coordinator itself has spoken, and all is known here that it had to tell.
     pub fn coordinator_heard(&mut self, now: Time) {
-        self.coordinator = now;
+        self.coordinator = Some(now);
     }
 
     /// Takes in what the brain has seen; its wishes count until the next call.
@@ -132,7 +143,7 @@
     }
 
     /// The report to one planner, to be sent at once: from now on what it lends is not used here.
-    pub fn report(&mut self, now: Time, to: PlannerId, sights: &[Sight], last_event: u64) -> Report {
+    pub fn report(&mut self, now: Time, to: PlannerId, sights: &[Sight], last_event: Mark) -> Report {
         let known = &self.known[to.0 as usize];
         let side = &mut self.sides[to.0 as usize];
         side.sent += 1;
@@ -173,13 +184,14 @@
         }
     }
 
-    /// Takes in a planner's guidance. Its events come back as they are, in order, after `last_event`.
+    /// Takes in a planner's guidance. Those of its events come back that follow `last_event`, in order; a planner that
+    /// follows another numbering has none, and vouches for nothing.
     pub fn guided(
         &mut self,
         now: Time,
         from: PlannerId,
         guidance: Guidance,
-        last_event: u64,
+        last_event: Mark,
     ) -> Result<Vec<Relayed>, Refused> {
         let judged = self.judge(now, from, &guidance);
         if let Err(why) = judged {
@@ -194,14 +206,19 @@
             return Err(why);
         }
         let true_at = guidance.envelope.echo.map_or(now, Stamp::time);
-        let mut next = last_event + 1;
+        let (mut before, mut last) = (guidance.after, last_event);
         let mut events = guidance.events;
         events.retain(|event| {
-            let follows = event.number == next;
-            next += u64::from(follows);
+            let follows = before == last && event.mark.number == last.number + 1;
+            before = event.mark;
+            last = if follows { event.mark } else { last };
             follows
         });
         self.counted.relayed += events.len() as u64;
+        // Between two words of the coordinator a planner on a good connection would hear of any change at once.
+        let ago = |ago: u32| Span::from_ms(u64::from(ago)).less(COORDINATOR_SILENT);
+        let followed = guidance.coordinator_ago_ms.filter(|_| guidance.upto == Some(last));
+        self.sides[from.0 as usize].vouched = followed.map(|told| true_at - ago(told));
         let ago = |link: Fullness| true_at - Span::from_ms(u64::from(link.ago_ms));
         let told = guidance.link.map(|link| (f64::from(link.full), ago(link)));
         self.link_told = [self.link_told, told].into_iter().flatten().max_by_key(|(_, at)| *at);
@@ -246,9 +263,6 @@
         }
         known.true_at = Some(echo);
         (side.echo, side.version) = (Some(sent), guidance.version);
-        // Between two words of the coordinator a planner on a good connection would hear of any change at once.
-        let ago = |ago: u32| Span::from_ms(u64::from(ago)).less(COORDINATOR_SILENT);
-        side.vouched = guidance.coordinator_ago_ms.map(|told| echo - ago(told));
         self.counted.guidance += 1;
         Ok(())
     }
@@ -297,17 +311,25 @@
 
     /// When the brain is to be told anew, if nothing is heard until then.
     pub fn next_change(&self, now: Time) -> Option<Time> {
-        let blind = self.stance.blind_after.map(|after| self.vouched() + after).filter(|at| *at > now);
+        let until = |after| self.vouched().map(|at| at + after);
+        let blind = self.stance.blind_after.and_then(until).filter(|at| *at > now);
         [blind, self.shares.next_change(now)].into_iter().flatten().min()
     }
 
-    fn vouched(&self) -> Time {
-        self.sides.iter().filter_map(|side| side.vouched).fold(self.coordinator, Time::max)
+    /// When somebody who follows the coordinator was last heard, or it itself; none since the start.
+    pub fn vouched(&self) -> Option<Time> {
+        self.sides.iter().filter_map(|side| side.vouched).chain(self.coordinator).max()
+    }
+
+    /// From when on what it may use of cold hosts is its own.
+    pub fn owns_from(&self) -> Time {
+        self.shares.owns_from()
     }
 
     pub fn informed(&self, now: Time) -> Informed {
         let heard = self.known.iter().filter_map(|known| known.true_at).max();
-        if self.stance.blind_after.is_some_and(|after| now.since(self.vouched()) >= after) {
+        if self.stance.blind_after.is_some_and(|after| self.vouched().is_none_or(|at| now.since(at) >= after))
+        {
             Informed::Blind
         } else if self.known.iter().any(|known| known.live(now)) {
             Informed::Guided
--- a/crates/flaxdeck-guidance/src/membership.rs
+++ b/crates/flaxdeck-guidance/src/membership.rs
@@ -32,6 +32,8 @@
     since: Time,
     nonsense: u32,
     shunned_until: Time,
+    /// A conversation has begun on which nothing was heard yet: whoever speaks first on it is the present run.
+    met: bool,
 }
 
 /// Why a message was not taken.
@@ -52,8 +54,14 @@
 impl Known {
     pub fn new(id: PlannerId) -> Known {
         let (epoch, number, true_at, heard) = (Epoch(0), 0, None, None);
-        let (since, nonsense, shunned_until) = (Time::default(), 0, Time::default());
-        Known { id, epoch, number, true_at, heard, since, nonsense, shunned_until }
+        let (since, nonsense, shunned_until, met) = (Time::default(), 0, Time::default(), false);
+        Known { id, epoch, number, true_at, heard, since, nonsense, shunned_until, met }
+    }
+
+    /// A new conversation with it has begun, which only its present run can hold. Without that a run is taken for
+    /// earlier than another by its number, which goes back where a clock was set back between the two.
+    pub fn met(&mut self) {
+        self.met = true;
     }
 
     /// Whether a message of that run and number is to be taken; what it says may still be nonsense.
@@ -61,15 +69,16 @@
         if now < self.shunned_until {
             return Err(Refused::Shunned);
         }
-        if epoch < self.epoch {
+        if epoch < self.epoch && !self.met {
             return Err(Refused::OldEpoch);
         }
         if epoch == self.epoch && number <= self.number {
             return Err(Refused::OutOfOrder);
         }
-        if epoch > self.epoch || !self.live(now) {
+        if epoch != self.epoch || !self.live(now) {
             self.since = now;
         }
+        self.met = false;
         (self.epoch, self.number, self.heard) = (epoch, number, Some(now));
         Ok(())
     }
@@ -150,6 +159,17 @@
         known.admit(at(2), Epoch(6), 1).unwrap();
     }
 
+    #[test]
+    fn a_planner_that_came_back_with_its_clock_set_back_is_believed_on_a_new_conversation() {
+        let mut known = Known::new(PlannerId(0));
+        known.admit(at(0), Epoch(9), 7).unwrap();
+        assert_eq!(known.admit(at(1), Epoch(4), 1), Err(Refused::OldEpoch));
+        known.met();
+        known.admit(at(2), Epoch(4), 1).unwrap();
+        known.admit(at(3), Epoch(4), 2).unwrap();
+        assert_eq!(known.admit(at(4), Epoch(3), 1), Err(Refused::OldEpoch), "one run a conversation");
+    }
+
     #[test]
     fn a_planner_that_talks_nonsense_is_left_alone_for_a_while() {
         let mut known = Known::new(PlannerId(0));
--- a/crates/flaxdeck-guidance/src/messages.rs
+++ b/crates/flaxdeck-guidance/src/messages.rs
@@ -2,11 +2,13 @@
 //! nobody reads another's clock.
 
 use flaxdeck::words::{Span, Time};
+use flaxdeck_recovery::Mark;
 use serde::{Deserialize, Serialize};
 
 use crate::Parts;
 
-/// One run of a forwarder or planner: new with each start, and larger than that of any earlier run.
+/// One run of a forwarder or planner: new with each start. Which of two is the later is told by the conversations that
+/// they hold, not by their numbers: a clock may have been set back between them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Epoch(pub u64);
 
@@ -93,8 +95,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub envelope: Envelope,
-    /// The number of the coordinator's last event that it has applied.
-    pub last_event: u64,
+    /// The coordinator's last event that it has applied.
+    pub last_event: Mark,
     /// The version of the planner's ratings that it has.
     pub version: u64,
     /// The forwarder's location, by its place in the platform's list.
@@ -141,7 +143,7 @@
 /// One event of the coordinator, as it came.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Relayed {
-    pub number: u64,
+    pub mark: Mark,
     pub frame: Vec<u8>,
 }
 
@@ -151,8 +153,12 @@
     pub envelope: Envelope,
     /// How long ago the planner itself heard from the coordinator.
     pub coordinator_ago_ms: Option<u32>,
+    /// The planner's own last event; none while it can't tell that it is the coordinator's last.
+    pub upto: Option<Mark>,
     /// Ratings of later versions may follow.
     pub version: u64,
+    /// The event that the first of these follows.
+    pub after: Mark,
     pub events: Vec<Relayed>,
     /// Of the link of the forwarder's location: the latest that any forwarder heard.
     pub link: Option<Fullness>,
--- a/crates/flaxdeck-guidance/src/planner.rs
+++ b/crates/flaxdeck-guidance/src/planner.rs
@@ -4,6 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use flaxdeck::words::{Span, Time};
+use flaxdeck_recovery::Mark;
 
 use crate::membership::Refused;
 use crate::messages::*;
@@ -31,7 +32,7 @@
     heard: Time,
     /// Messages sent to it.
     sent: u64,
-    last_event: u64,
+    last_event: Mark,
     version: u64,
     zone: u32,
 }
@@ -68,8 +69,12 @@
     version: u64,
     /// Each location's link as last heard by any of its forwarders.
     links: BTreeMap<u32, (f32, Time)>,
+    /// The event before the first of the log.
+    base: Mark,
     log: VecDeque<Relayed>,
+    /// When the coordinator was last heard, and whether all is known here that it had to tell.
     coordinator: Option<Time>,
+    current: bool,
     next_tidy: Time,
     pub counted: Counted,
 }
@@ -88,8 +93,10 @@
             changes: BTreeMap::new(),
             version: 0,
             links: BTreeMap::new(),
+            base: Mark::NONE,
             log: VecDeque::new(),
             coordinator: None,
+            current: false,
             next_tidy: now,
             counted: Counted::default(),
         }
@@ -117,19 +124,38 @@
         self.hosts.keys()
     }
 
-    /// The coordinator has spoken; an event is kept to be passed on.
-    pub fn coordinator(&mut self, now: Time, event: Option<Relayed>) {
-        self.coordinator = Some(now);
-        if let Some(event) =
-            event.filter(|event| self.log.back().is_none_or(|last| last.number < event.number))
-        {
+    /// The coordinator has spoken; an event is kept to be passed on. `current` if all is known here that it had to tell.
+    pub fn coordinator(&mut self, now: Time, event: Option<Relayed>, current: bool) {
+        (self.coordinator, self.current) = (Some(now), current);
+        let last = self.last_event();
+        if let Some(event) = event.filter(|event| event.mark.number > last.number) {
             self.log.push_back(event);
             if self.log.len() > LOG_MOST {
-                self.log.pop_front();
+                self.base = self.log.pop_front().map_or(self.base, |event| event.mark);
             }
         }
     }
 
+    /// All that is known here of the coordinator's events ends with that one: at the start, and where its numbering
+    /// turned out another. What was passed on before follows from nothing any more.
+    pub fn begins_at(&mut self, mark: Mark) {
+        self.log.clear();
+        self.base = mark;
+    }
+
+    fn last_event(&self) -> Mark {
+        self.log.back().map_or(self.base, |event| event.mark)
+    }
+
+    /// The place in the log of what follows that event; none if it is of another numbering, or long past.
+    fn follows(&self, mark: Mark) -> Option<usize> {
+        if mark == self.base {
+            return Some(0);
+        }
+        let at = self.log.partition_point(|event| event.mark.number < mark.number);
+        self.log.get(at).filter(|event| event.mark == mark).map(|_| at + 1)
+    }
+
     /// A forwarder's report, answered with guidance.
     pub fn report(&mut self, now: Time, report: &Report) -> Result<Guidance, Refused> {
         self.tidy(now);
@@ -159,7 +185,7 @@
             stamp: sent,
             heard: now,
             sent: 0,
-            last_event: 0,
+            last_event: Mark::NONE,
             version,
             zone: report.zone,
         });
@@ -186,7 +212,7 @@
     pub fn push(&mut self, now: Time, to: Epoch) -> Option<Guidance> {
         let member = self.members.get(&to)?;
         let last = member.last_event;
-        self.log.back().filter(|event| event.number > last)?;
+        self.follows(last).filter(|at| *at < self.log.len())?;
         self.counted.pushes += 1;
         Some(self.guidance(now, to))
     }
@@ -248,6 +274,8 @@
     }
 
     fn guidance(&mut self, now: Time, to: Epoch) -> Guidance {
+        let upto = Some(self.last_event()).filter(|_| self.current);
+        let later = self.members.get(&to).and_then(|member| self.follows(member.last_event));
         let Some(member) = self.members.get_mut(&to) else { return Guidance::default() };
         member.sent += 1;
         let envelope = Envelope {
@@ -257,17 +285,15 @@
             sent: Stamp::of(now),
             echo: Some(member.stamp),
         };
-        let later = self.log.partition_point(|event| event.number <= member.last_event);
-        // Only what follows the forwarder's last without a gap is of use to it.
-        let whole = self.log.get(later).is_some_and(|event| event.number == member.last_event + 1);
         let mut bytes = 0;
         let fits = |event: &&Relayed| {
             bytes += event.frame.len();
             bytes <= EVENT_BYTES_MOST
         };
-        let events = self.log.iter().skip(later).filter(|_| whole).take(EVENTS_MOST).take_while(fits);
-        let events: Vec<Relayed> = events.cloned().collect();
-        member.last_event = events.last().map_or(member.last_event, |event| event.number);
+        let events = later.map(|later| self.log.iter().skip(later).take(EVENTS_MOST).take_while(fits));
+        let events: Vec<Relayed> = events.into_iter().flatten().cloned().collect();
+        let after = member.last_event;
+        member.last_event = events.last().map_or(after, |event| event.mark);
         let changes = self.changes.range(member.version + 1..).take(RATINGS_MOST);
         let told: Vec<(&u64, &String)> = changes.collect();
         member.version = told.last().map_or(self.version, |(version, _)| **version);
@@ -278,7 +304,9 @@
             envelope,
             link: link.map(|(full, at)| Fullness { full: *full, ago_ms: ms_up(now.since(*at)) }),
             coordinator_ago_ms: self.coordinator.map(|at| ms_up(now.since(at))),
+            upto,
             version: member.version,
+            after,
             events,
             grants: Vec::new(),
             lives: Vec::new(),
--- a/crates/flaxdeck-guidance/src/shares.rs
+++ b/crates/flaxdeck-guidance/src/shares.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// With no planner to lend to: its own share is its own from the start.
+    pub fn lending_nothing(now: Time, pledges: Pledges) -> Shares {
+        Shares { owns_from: now, ..Shares::new(now, pledges) }
+    }
+
     /// Takes in how the cold hosts stand. Warm ones are left out, and forgotten once nothing of them is out.
     pub fn stand(&mut self, now: Time, cold: impl IntoIterator<Item = Cold>) {
         let passed =
@@ -170,6 +175,11 @@
         true
     }
 
+    /// From when on its own shares are its own.
+    pub fn owns_from(&self) -> Time {
+        self.owns_from
+    }
+
     /// Whether its own shares are its own yet.
     pub fn owns(&self, now: Time) -> bool {
         now >= self.owns_from
--- a/crates/flaxdeck-guidance/tests/two_levels.rs
+++ b/crates/flaxdeck-guidance/tests/two_levels.rs
@@ -8,12 +8,18 @@
 use flaxdeck_guidance::messages::{Epoch, Grant, Guidance, Life, Rating, Relayed, Report};
 use flaxdeck_guidance::planner::Planner;
 use flaxdeck_guidance::{Parts, Pledges};
+use flaxdeck_recovery::Mark;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 const WINDOW: u64 = 3_000;
 const P: PlannerId = PlannerId(0);
 
+/// Here a number is its event.
+fn mark(number: u64) -> Mark {
+    Mark { number, hash: number }
+}
+
 fn at(ms: u64) -> Time {
     Time::at_ms(1_000_000.0 + ms as f64)
 }
@@ -53,9 +59,9 @@
 /// A round trip without delay.
 fn trip(now: Time, guide: &mut Guide, planner: &mut Planner, sights: &[Sight]) -> Report {
     guide.stand(now, sights);
-    let report = guide.report(now, P, sights, 0);
+    let report = guide.report(now, P, sights, mark(0));
     let guidance = planner.report(now, &report).unwrap();
-    guide.guided(now, P, guidance, 0).unwrap();
+    guide.guided(now, P, guidance, mark(0)).unwrap();
     report
 }
 
@@ -154,21 +160,21 @@
 fn late_doubled_and_misaddressed_guidance_is_refused_and_counted() {
     let (mut first, mut second) = (planner(at(0), 1, 0.0), planner(at(50), 2, 0.0));
     let mut guide = Guide::start(at(0), Epoch(10), stance(), 1);
-    let report = guide.report(at(0), P, &[], 0);
+    let report = guide.report(at(0), P, &[], mark(0));
     let one = first.report(at(0), &report).unwrap();
-    let report = guide.report(at(100), P, &[], 0);
+    let report = guide.report(at(100), P, &[], mark(0));
     let two = first.report(at(100), &report).unwrap();
-    guide.guided(at(110), P, two.clone(), 0).unwrap();
-    assert_eq!(guide.guided(at(120), P, one, 0), Err(Refused::OutOfOrder));
-    assert_eq!(guide.guided(at(130), P, two, 0), Err(Refused::OutOfOrder));
-    let report = guide.report(at(200), P, &[], 0);
+    guide.guided(at(110), P, two.clone(), mark(0)).unwrap();
+    assert_eq!(guide.guided(at(120), P, one, mark(0)), Err(Refused::OutOfOrder));
+    assert_eq!(guide.guided(at(130), P, two, mark(0)), Err(Refused::OutOfOrder));
+    let report = guide.report(at(200), P, &[], mark(0));
     let old = first.report(at(200), &report).unwrap();
-    let report = guide.report(at(300), P, &[], 0);
+    let report = guide.report(at(300), P, &[], mark(0));
     let new = second.report(at(300), &report).unwrap();
-    guide.guided(at(310), P, new.clone(), 0).unwrap();
-    assert_eq!(guide.guided(at(900), P, old, 0), Err(Refused::OldEpoch), "a delayed connection");
+    guide.guided(at(310), P, new.clone(), mark(0)).unwrap();
+    assert_eq!(guide.guided(at(900), P, old, mark(0)), Err(Refused::OldEpoch), "a delayed connection");
     let mut restarted = Guide::start(at(1_000), Epoch(20), stance(), 1);
-    assert_eq!(restarted.guided(at(1_000), P, new, 0), Err(Refused::NotForUs));
+    assert_eq!(restarted.guided(at(1_000), P, new, mark(0)), Err(Refused::NotForUs));
     let counted = guide.counted;
     assert_eq!((counted.old_epoch, counted.out_of_order, restarted.counted.not_for_us), (1, 2, 1));
 }
@@ -203,18 +209,18 @@
         for times in 1..=3 {
             let now = at(OWNS + 400 + times);
             guide.stand(now, &pressed);
-            let report = guide.report(now, P, &pressed, 0);
+            let report = guide.report(now, P, &pressed, mark(0));
             let mut answer = planner.report(now, &report).unwrap();
             (answer.grants, answer.ratings) = (guidance.grants.clone(), guidance.ratings.clone());
-            assert_eq!(guide.guided(now, P, answer, 0), Err(Refused::Nonsense), "case {n}");
+            assert_eq!(guide.guided(now, P, answer, mark(0)), Err(Refused::Nonsense), "case {n}");
         }
         let now = at(OWNS + 500);
         let told = guide.hints(now);
         assert!(told.hints.iter().all(|hint| hint.measures == [None; 2] && hint.window.is_none()));
         assert!(share(&mut guide, now).unwrap() <= 1.0);
-        let report = guide.report(now, P, &pressed, 0);
+        let report = guide.report(now, P, &pressed, mark(0));
         let sane = planner.report(now, &report).unwrap();
-        assert_eq!(guide.guided(now, P, sane, 0), Err(Refused::Shunned));
+        assert_eq!(guide.guided(now, P, sane, mark(0)), Err(Refused::Shunned));
         assert_ne!(guide.informed(now), Informed::Guided);
     }
 }
@@ -229,7 +235,7 @@
     });
     assert!(planner.counted.unlisted >= 2, "{:?}", planner.counted);
     assert_eq!(planner.load(at(OWNS + 200)).1, 0, "no pool for it");
-    let mut report = guide.report(at(OWNS + 400), P, &[], 0);
+    let mut report = guide.report(at(OWNS + 400), P, &[], mark(0));
     report.envelope.echo = Some(flaxdeck_guidance::messages::Stamp::of(at(OWNS + 90_000)));
     assert_eq!(
         planner.report(at(OWNS + 400), &report),
@@ -242,38 +248,42 @@
 fn events_are_applied_in_order_once_whoever_brings_them() {
     let mut planner = planner(at(0), 1, 0.0);
     for number in 1..=4 {
-        planner.coordinator(at(number), Some(Relayed { number, frame: vec![number as u8] }));
+        planner.coordinator(
+            at(number),
+            Some(Relayed { mark: mark(number), frame: vec![number as u8] }),
+            true,
+        );
     }
-    planner.coordinator(at(5), Some(Relayed { number: 4, frame: vec![9] }));
+    planner.coordinator(at(5), Some(Relayed { mark: mark(4), frame: vec![9] }), true);
     let mut guide = Guide::start(at(0), Epoch(10), stance(), 1);
-    let numbers = |events: Vec<Relayed>| events.iter().map(|event| event.number).collect::<Vec<_>>();
-    let report = guide.report(at(10), P, &[], 2);
+    let numbers = |events: Vec<Relayed>| events.iter().map(|event| event.mark.number).collect::<Vec<_>>();
+    let report = guide.report(at(10), P, &[], mark(2));
     let guidance = planner.report(at(10), &report).unwrap();
     // Meanwhile the coordinator itself has brought 3.
-    assert_eq!(numbers(guide.guided(at(11), P, guidance.clone(), 3).unwrap()), [4]);
-    let report = guide.report(at(20), P, &[], 4);
+    assert_eq!(numbers(guide.guided(at(11), P, guidance.clone(), mark(3)).unwrap()), [4]);
+    let report = guide.report(at(20), P, &[], mark(4));
     let guidance = planner.report(at(20), &report).unwrap();
-    assert_eq!(numbers(guide.guided(at(21), P, guidance, 4).unwrap()), []);
+    assert_eq!(numbers(guide.guided(at(21), P, guidance, mark(4)).unwrap()), []);
     // One whose earlier events the planner has not: nothing is passed on over a gap.
-    let report = guide.report(at(30), P, &[], 0);
+    let report = guide.report(at(30), P, &[], mark(0));
     let guidance = planner.report(at(30), &report).unwrap();
-    assert_eq!(numbers(guide.guided(at(31), P, guidance, 0).unwrap()), [1, 2, 3, 4]);
+    assert_eq!(numbers(guide.guided(at(31), P, guidance, mark(0)).unwrap()), [1, 2, 3, 4]);
     let mut young = planner2_without(3);
-    let report = guide.report(at(40), P, &[], 1);
+    let report = guide.report(at(40), P, &[], mark(1));
     assert_eq!(young.report(at(40), &report).unwrap().events, []);
 }
 
 /// A planner that heard only what came after an event.
 fn planner2_without(first: u64) -> Planner {
     let mut planner = planner(at(35), 2, 0.0);
-    planner.coordinator(at(36), Some(Relayed { number: first + 1, frame: vec![] }));
+    planner.coordinator(at(36), Some(Relayed { mark: mark(first + 1), frame: vec![] }), true);
     planner
 }
 
 #[test]
 fn as_guidance_ages_a_forwarder_falls_back_by_steps() {
     let mut planner = planner(at(0), 1, 0.0);
-    planner.coordinator(at(0), None);
+    planner.coordinator(at(0), None, true);
     let mut guide = Guide::start(at(0), Epoch(10), stance(), 1);
     trip(at(100), &mut guide, &mut planner, &[]);
     assert_eq!(guide.informed(at(200)), Informed::Guided);
@@ -311,7 +321,7 @@
     assert!(full == 7.5 && heard <= at(90), "{full} {heard:?}");
     assert_eq!(told(&mut guides[2]), None, "another location's link");
     guides[0].link(ZoneId(4), Some((f64::NAN, at(190))));
-    let report = guides[0].report(at(300), P, &[], 0);
+    let report = guides[0].report(at(300), P, &[], mark(0));
     planner.report(at(300), &report).unwrap();
     assert_eq!(planner.counted.nonsense, 1);
 }
@@ -353,7 +363,7 @@
                         );
                     }
                 }
-                Mail::Guidance(to, from, guidance) => drop(guides[to].guided(now, from, guidance, 0)),
+                Mail::Guidance(to, from, guidance) => drop(guides[to].guided(now, from, guidance, mark(0))),
             }
         }
         for who in 0..forwarders {
@@ -380,7 +390,7 @@
                 wished[who] = 0.0;
                 guides[who].stand(now, &sights);
                 for to in 0..2 {
-                    let report = guides[who].report(now, PlannerId(to as u32), &sights, 0);
+                    let report = guides[who].report(now, PlannerId(to as u32), &sights, mark(0));
                     let copies = if !rough { 1 } else { [0, 1, 1, 1, 2][chance.random_range(0..5)] };
                     let copies = if how == Play::Alone { 0 } else { copies };
                     for _ in 0..copies {
--- a/crates/flaxdeck-net/src/clock.rs
+++ b/crates/flaxdeck-net/src/clock.rs
@@ -1,10 +1,19 @@
 //! One clock: monotonic, tied to Unix time at start, so that times told from outside mean the same here.
 
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use flaxdeck::words::{Span, Time};
 use tokio::time::Instant;
 
+/// By how much this process's wall clock is taken to differ, in milliseconds.
+static APART: AtomicI64 = AtomicI64::new(0);
+
+/// Has all clocks that start from now on run apart from the system's: for tests of clocks that were set.
+pub fn run_apart(ms: i64) {
+    APART.store(ms, Ordering::Relaxed);
+}
+
 #[derive(Clone, Copy)]
 pub struct Clock {
     start: Instant,
@@ -14,7 +23,8 @@
 impl Clock {
     pub fn start() -> Clock {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Clock { start: Instant::now(), start_ms: unix.as_secs_f64() * 1000.0 }
+        let apart = APART.load(Ordering::Relaxed) as f64;
+        Clock { start: Instant::now(), start_ms: unix.as_secs_f64() * 1000.0 + apart }
     }
 
     pub fn now(&self) -> Time {
--- a/crates/flaxdeck-net/src/tally.rs
+++ b/crates/flaxdeck-net/src/tally.rs
@@ -42,6 +42,8 @@
     feed_connects,
     feed_events,
     feed_gaps,
+    feed_anew,
+    hosts_doubted,
     planners_connects,
     planners_refused,
     guidance_refused,
--- a/crates/flaxdeck-plan/src/lib.rs
+++ b/crates/flaxdeck-plan/src/lib.rs
@@ -161,9 +161,9 @@
 fn planners(form: &Form, faults: &mut Faults) -> Vec<Planner> {
     let mut planners: Vec<Planner> = Vec::new();
     let forms = form.forms(&["planner"], faults);
-    if forms.is_empty() || forms.len() > PLANNERS_MOST {
+    if forms.len() > PLANNERS_MOST {
         let what = format!("{} planners", forms.len());
-        let why = format!("there may be 1 to {PLANNERS_MOST}, as each forwarder reports to all");
+        let why = format!("there may be {PLANNERS_MOST} at most, as each forwarder reports to all");
         faults.add(form.place, what, why, "list them as (planner (name p1) (listen \"address:port\"))");
     }
     for form in forms {
--- a/crates/flaxdeck-planner/src/lib.rs
+++ b/crates/flaxdeck-planner/src/lib.rs
@@ -78,6 +78,7 @@
         refused: Cell::new(0),
     });
     known.into_iter().for_each(|(_, event)| server.told(event));
+    server.planner.borrow_mut().begins_at(feed.numbering().borrow().last());
     let listener = Listener::open(listen).map_err(|error| format!("cannot listen at {listen}: {error}"))?;
     let at = listener.address().map_err(|error| format!("cannot listen at {listen}: {error}"))?;
     spawn_local(server.clone().follow(feed));
@@ -113,13 +114,23 @@
         loop {
             let event = match feed.next().await {
                 Word::Alive => None,
-                Word::Event(number, frame, event) => {
+                Word::Event(mark, frame, event) => {
                     self.told(event);
-                    Some(Relayed { number, frame: frame.to_vec() })
+                    Some(Relayed { mark, frame: frame.to_vec() })
+                }
+                Word::Anew(mark, event, doubt) => {
+                    tracing::warn!(
+                        ?mark,
+                        ?doubt,
+                        "the coordinator's numbering is another: its list is taken anew"
+                    );
+                    self.told(event);
+                    self.planner.borrow_mut().begins_at(mark);
+                    None
                 }
             };
             let news = event.is_some();
-            self.planner.borrow_mut().coordinator(self.clock.now(), event);
+            self.planner.borrow_mut().coordinator(self.clock.now(), event, feed.is_current());
             if news {
                 self.push();
             }
--- a/crates/flaxdeck-recovery/src/numbering.rs
+++ b/crates/flaxdeck-recovery/src/numbering.rs
@@ -3,6 +3,8 @@
 //! is known, and what comes first has to be that event, to the hash. It comes at once, which also tells an instance
 //! that starts that it is current, long before the coordinator's next empty frame.
 
+use std::collections::BTreeMap;
+
 use flaxdeck::words::{Span, Time};
 use serde::{Deserialize, Serialize};
 
@@ -10,6 +12,15 @@
 /// has no end mark but the empty frame a second later; a burst that stalls for longer than this is taken for two.
 const SETTLES: Span = Span::from_ms(30);
 
+/// The last event known is sent at once if it is there at all: with nothing after a slow trip and a burst before it, the
+/// coordinator lacks it, and would say so only by its empty frame a second later.
+const PROVES: Span = Span::from_ms(300);
+/// The last events by their numbers, against which a link's are held: more than a planner passes on at once.
+const REMEMBERED: usize = 256;
+/// How long nothing is taken from others after the coordinator contradicted what they brought. They follow what was,
+/// until they find out themselves: their own link is silent or proven anew within that time.
+const DISTRUSTS: Span = Span::from_ms(2_500);
+
 /// An event by its number and a hash of what it tells; without events both are zero.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Mark {
@@ -60,6 +71,8 @@
     proven: bool,
     /// When something last came on it.
     heard: Time,
+    /// Nothing that follows has come on it yet.
+    new: bool,
 }
 
 /// What is known of the coordinator's numbering.
@@ -72,11 +85,24 @@
     sure: Option<Time>,
     /// The last proven link ended by its end, not by silence.
     ended_whole: bool,
+    /// A number always means the same event, as the platform's page has it: nothing needs to be proven.
+    trusts: bool,
+    /// The last events as applied, whoever brought them.
+    applied: BTreeMap<u64, u64>,
+    distrusts_until: Time,
 }
 
 impl Numbering {
+    /// One that has the numbering proven on each link.
     pub fn new(last: Mark) -> Numbering {
-        Numbering { last, link: None, from_the_start: false, sure: None, ended_whole: false }
+        let (link, from_the_start, sure, ended_whole) = (None, false, None, false);
+        let (applied, distrusts_until) = (BTreeMap::from([(last.number, last.hash)]), Time::default());
+        Numbering { last, link, from_the_start, sure, ended_whole, trusts: false, applied, distrusts_until }
+    }
+
+    /// One that believes the numbers, and applies what is above the last.
+    pub fn trusting(last: Mark) -> Numbering {
+        Numbering { trusts: true, ..Numbering::new(last) }
     }
 
     pub fn last(&self) -> Mark {
@@ -90,8 +116,12 @@
 
     /// A link has come up: the number to name on it.
     pub fn ask(&mut self, now: Time) -> u64 {
-        let asked = if self.from_the_start { 0 } else { self.last.number.saturating_sub(1) };
-        self.link = Some(Link { asked, proven: false, heard: now });
+        let asked = match (self.trusts, self.from_the_start) {
+            (true, _) => self.last.number,
+            (_, true) => 0,
+            _ => self.last.number.saturating_sub(1),
+        };
+        self.link = Some(Link { asked, proven: self.trusts, heard: now, new: true });
         asked
     }
 
@@ -106,9 +136,13 @@
     pub fn heard(&mut self, now: Time, mark: Mark, whole: bool) -> Next {
         let Some(link) = &mut self.link else { return Next::Skip };
         link.heard = now;
-        let next = if link.proven { self.on_proven(mark) } else { self.on_first(now, mark, whole) };
+        let next = if link.proven { self.on_proven(now, mark) } else { self.on_first(mark, whole) };
         match next {
-            Next::Apply | Next::Adopt(_) => self.last = mark,
+            Next::Apply => self.applies(mark),
+            Next::Adopt(_) => {
+                self.applied.clear();
+                self.applies(mark);
+            }
             Next::AskAgain(_) => self.link = None,
             Next::Skip => {}
         }
@@ -118,16 +152,40 @@
         next
     }
 
-    fn on_proven(&self, mark: Mark) -> Next {
+    fn applies(&mut self, mark: Mark) {
+        self.last = mark;
+        self.applied.insert(mark.number, mark.hash);
+        while self.applied.len() > REMEMBERED {
+            self.applied.pop_first();
+        }
+    }
+
+    fn on_proven(&mut self, now: Time, mark: Mark) -> Next {
+        let Some(link) = &mut self.link else { return Next::Skip };
         match mark.number {
-            number if number == self.last.number + 1 => Next::Apply,
-            number if number <= self.last.number => Next::Skip, // somebody else brought it first
-            _ => Next::AskAgain(Why::Gap),
+            // Somebody else brought it first, or brought what was meant to follow before the coordinator was put back.
+            number if number <= self.last.number => {
+                let other = !self.trusts && self.applied.get(&number).is_some_and(|hash| *hash != mark.hash);
+                if !other {
+                    return Next::Skip;
+                }
+                (self.from_the_start, self.distrusts_until) = (true, now + DISTRUSTS);
+                return Next::AskAgain(Why::OtherEvent);
+            }
+            number if number == self.last.number + 1 => {}
+            // A gap right after asking is all that the coordinator has, if it was asked for all or is trusted.
+            _ if link.new && (self.trusts || link.asked == 0) => {}
+            _ => {
+                self.from_the_start = link.new;
+                return Next::AskAgain(Why::Gap);
+            }
         }
+        link.new = false;
+        Next::Apply
     }
 
     // The first event of a link proves the numbering, replaces it, or has all asked for.
-    fn on_first(&mut self, _now: Time, mark: Mark, whole: bool) -> Next {
+    fn on_first(&mut self, mark: Mark, whole: bool) -> Next {
         let Some(link) = &mut self.link else { return Next::Skip };
         if mark == self.last && (whole || link.asked > 0) {
             (link.proven, self.from_the_start) = (true, false);
@@ -147,7 +205,12 @@
         Next::AskAgain(why)
     }
 
-    /// An empty frame has come. On a link that has proven nothing it says that the coordinator lacks the last event
+    /// When a link that has proven nothing by then lacks what was asked for.
+    pub fn proves_by(&self) -> Option<Time> {
+        self.link.as_ref().filter(|link| !link.proven).map(|link| link.heard + PROVES)
+    }
+
+    /// An empty frame has come, or that time. On a link that has proven nothing it says that the coordinator lacks the last event
     /// known: the link has to be ended.
     pub fn alive(&mut self, now: Time) -> Next {
         let Some(link) = &mut self.link else { return Next::Skip };
@@ -162,11 +225,21 @@
         Next::AskAgain(Why::Nothing)
     }
 
+    /// A later configuration tells an event: whether it is to be applied. One whose numbering has to be proven takes
+    /// none, as the file may have been written under another.
+    pub fn told_by_file(&mut self, mark: Mark) -> bool {
+        let taken = self.trusts && mark.number > self.last.number;
+        if taken {
+            self.last = mark;
+        }
+        taken
+    }
+
     /// Somebody who knows the same numbering brought the event that follows.
-    pub fn relayed(&mut self, after: Mark, mark: Mark) -> bool {
-        let follows = after == self.last && mark.number == after.number + 1;
+    pub fn relayed(&mut self, now: Time, after: Mark, mark: Mark) -> bool {
+        let follows = after == self.last && mark.number == after.number + 1 && now >= self.distrusts_until;
         if follows {
-            self.last = mark;
+            self.applies(mark);
         }
         follows
     }
@@ -259,13 +332,28 @@
     #[test]
     fn what_a_planner_brings_counts_only_if_it_follows_in_this_numbering() {
         let mut numbering = known();
-        assert!(!numbering.relayed(mark(20, 6), mark(21, 1)), "another numbering's");
-        assert!(!numbering.relayed(mark(19, 1), mark(20, 7)), "known");
-        assert!(numbering.relayed(mark(20, 7), mark(21, 1)));
+        assert!(!numbering.relayed(at(2), mark(20, 6), mark(21, 1)), "another numbering's");
+        assert!(!numbering.relayed(at(2), mark(19, 1), mark(20, 7)), "known");
+        assert!(numbering.relayed(at(2), mark(20, 7), mark(21, 1)));
         assert_eq!(numbering.heard(at(9), mark(21, 1), false), Next::Skip);
         assert_eq!(numbering.heard(at(9), mark(22, 1), false), Next::Apply);
     }
 
+    #[test]
+    fn what_planners_brought_of_a_history_that_was_put_back_is_contradicted_by_the_coordinator() {
+        // Put back to 20, which all share; a planner that has not noticed brings the old 21 and 22.
+        let mut numbering = known();
+        assert!(numbering.relayed(at(10), mark(20, 7), mark(21, 1)));
+        assert!(numbering.relayed(at(10), mark(21, 1), mark(22, 2)));
+        assert_eq!(numbering.heard(at(20), mark(21, 1), false), Next::Skip);
+        assert_eq!(numbering.heard(at(20), mark(22, 9), false), Next::AskAgain(Why::OtherEvent));
+        assert_eq!(numbering.ask(at(30)), 0);
+        assert!(matches!(numbering.heard(at(31), mark(1, 5), true), Next::Adopt(Some(_))));
+        (2..=20).for_each(|n| assert_eq!(numbering.heard(at(31), mark(n, 7), false), Next::Apply));
+        assert!(!numbering.relayed(at(40), mark(20, 7), mark(21, 1)), "not from them again for a while");
+        assert_eq!(numbering.heard(at(41), mark(21, 8), false), Next::Apply);
+    }
+
     #[test]
     fn a_files_numbering_that_turns_out_another_is_no_doubt_of_ours() {
         let mut numbering = Numbering::new(mark(1, 3));
--- a/crates/flaxdeck-talk/src/feed.rs
+++ b/crates/flaxdeck-talk/src/feed.rs
@@ -1,15 +1,20 @@
-//! The coordinator's connection.
+//! The coordinator's connection. What follows what, and whether the numbering is still the one known here, is decided
+//! in `flaxdeck_recovery::numbering`.
 
-use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use flaxdeck::words::Span;
+use flaxdeck_recovery::numbering::{Doubt, Next, Numbering, Why};
+use flaxdeck_recovery::{Mark, Pace};
 use flaxdeck_terms::Names;
 use flaxdeck_terms::fields::Fields;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
+use flaxdeck_net::clock::{self, Clock};
 use flaxdeck_net::link::{self, Inbound, Outbound};
 use flaxdeck_net::tally::{Count, count};
 use flaxdeck_wire::frames;
@@ -21,52 +26,82 @@
 const SILENT: Duration = Duration::from_millis(2200);
 /// How long a connection to the coordinator may take to come up.
 const CONNECT: Duration = Duration::from_secs(1);
-/// Between tries: short, since what is told counts as told while no connection is up.
-const RETRY: Duration = Duration::from_millis(200);
+/// Between tries: short at first, since what is told counts as told while no connection is up; at most as long as the
+/// coordinator pauses between two words by itself.
+const RETRY: [Span; 2] = [Span::from_ms(100), Span::from_ms(1000)];
 
 /// What the coordinator says.
 pub enum Word {
     /// Nothing new, but it is there.
     Alive,
-    /// An event with its number and the frame that it came in, for who passes it on.
-    Event(u64, Bytes, Event),
+    /// An event that follows, and the frame that it came in, for who passes it on.
+    Event(Mark, Bytes, Event),
+    /// A whole list in place of all that was known.
+    Anew(Mark, Event, Option<Doubt>),
 }
 
 pub struct Feed {
     address: SocketAddr,
     names: Rc<Names>,
-    /// The number of the last event, which others may have brought as well.
-    last: Rc<Cell<u64>>,
+    clock: Clock,
+    /// Others may bring events as well, and move it on.
+    numbering: Rc<RefCell<Numbering>>,
+    pace: Pace,
     link: Option<(Inbound, Outbound)>,
-    /// Nothing numbered has come since the connection came up.
-    new: bool,
+    /// It has been told that all has come which the coordinator had when the link came up.
+    told_current: bool,
 }
 
 impl Feed {
-    /// The feed after the events of a configuration, and these.
-    pub fn start(address: SocketAddr, known: &Fields, names: Rc<Names>) -> Result<(Feed, Numbered), String> {
-        let (last, events) = frames::known(known, &names)?;
-        let last = Rc::new(Cell::new(last));
-        Ok((Feed { address, names, last, link: None, new: true }, events))
+    /// The feed after the events of a configuration, and these. One that trusts keeps to the platform's page, by which
+    /// a number always means the same event; the other has it proven. The seed spreads its calls.
+    pub fn start(
+        address: SocketAddr,
+        known: &Fields,
+        names: Rc<Names>,
+        trusts: bool,
+        seed: u64,
+    ) -> Result<(Feed, Numbered), String> {
+        let (number, events) = frames::known(known, &names)?;
+        let hash = events.last().filter(|(last, _)| *last == number).map_or(0, |(_, event)| event.hash());
+        let last = Mark { number, hash };
+        let numbering = if trusts { Numbering::trusting(last) } else { Numbering::new(last) };
+        let numbering = Rc::new(RefCell::new(numbering));
+        let (pace, clock) = (Pace::new(seed, RETRY[0], RETRY[1]), Clock::start());
+        let feed = Feed { address, names, clock, numbering, pace, link: None, told_current: false };
+        Ok((feed, events))
     }
 
-    /// The number of the last event applied, whoever brought it: to be moved on when another did.
-    pub fn last(&self) -> Rc<Cell<u64>> {
-        self.last.clone()
+    /// What is known of the numbering, to be moved on when others bring events.
+    pub fn numbering(&self) -> Rc<RefCell<Numbering>> {
+        self.numbering.clone()
+    }
+
+    /// Whether all has come that the coordinator had to tell when the link came up.
+    pub fn is_current(&self) -> bool {
+        self.told_current
     }
 
     /// Goes on with the same numbering at the coordinator of a later configuration; gives those of its events
     /// that are new here. Asks again even at the same address.
     pub fn go_on_at(&mut self, later: Feed, known: Numbered) -> Vec<Event> {
-        (self.address, self.link) = (later.address, None);
-        let mut news = Vec::new();
-        for (index, event) in known {
-            if index > self.last.get() {
-                self.last.set(index);
-                news.push(event);
-            }
-        }
-        news
+        self.address = later.address;
+        self.hang_up(false);
+        let mut numbering = self.numbering.borrow_mut();
+        let news = known.into_iter().filter_map(|(number, event)| {
+            numbering.told_by_file(Mark { number, hash: event.hash() }).then_some(event)
+        });
+        news.collect()
+    }
+
+    fn hang_up(&mut self, by_silence: bool) {
+        (self.link, self.told_current) = (None, false);
+        self.numbering.borrow_mut().ended(by_silence);
+    }
+
+    async fn pause(&mut self) {
+        let pause = self.pace.pause(self.clock.now());
+        sleep(clock::length(pause)).await;
     }
 
     /// The coordinator's next word; connections that end are opened again.
@@ -76,33 +111,81 @@
                 self.connect().await;
                 continue;
             };
-            let last = self.last.get();
             match frames::parse(&mut inbound.bytes, &self.names) {
-                Ok(Parsed::Whole((_, _, None))) => return Word::Alive,
-                Ok(Parsed::Whole((index, ..))) if index <= last => {} // seen before
-                Ok(Parsed::Whole((index, ..))) if index > last + 1 && !self.new => {
-                    count(Count::feed_gaps);
-                    log::warn!("event {index} follows {last}: asking again");
-                    self.link = None;
+                Ok(Parsed::Whole((_, _, None))) => {
+                    let now = self.clock.now();
+                    let next = self.numbering.borrow_mut().alive(now);
+                    if next == Next::Skip {
+                        self.pace.answered(now);
+                        self.told_current = true;
+                        return Word::Alive;
+                    }
+                    log::warn!("the coordinator has nothing where it was asked: {next:?}");
+                    self.hang_up(false);
+                    self.pause().await;
                 }
-                // A gap right after asking is all that the coordinator has.
-                Ok(Parsed::Whole((index, frame, Some(event)))) => {
-                    self.new = false;
-                    self.last.set(index);
-                    count(Count::feed_events);
-                    return Word::Event(index, frame, event);
+                Ok(Parsed::Whole((number, frame, Some(event)))) => {
+                    let (now, whole) = (self.clock.now(), event.is_whole_list());
+                    let mark = Mark { number, hash: event.hash() };
+                    let next = self.numbering.borrow_mut().heard(now, mark, whole);
+                    match next {
+                        Next::Skip => {}
+                        Next::Apply => {
+                            self.pace.answered(now);
+                            count(Count::feed_events);
+                            return Word::Event(mark, frame, event);
+                        }
+                        Next::Adopt(doubt) => {
+                            self.pace.answered(now);
+                            count(Count::feed_anew);
+                            return Word::Anew(mark, event, doubt);
+                        }
+                        Next::AskAgain(why) => {
+                            count(Count::feed_gaps);
+                            log::warn!("event {number} does not follow what is known: {why:?}, asking again");
+                            self.hang_up(false);
+                            // It has answered, and the next link asks for all: that ends this at once.
+                            if why == Why::NoList {
+                                self.pause().await;
+                            }
+                        }
+                    }
                 }
                 Ok(Parsed::Short(more)) => {
-                    if !matches!(timeout(SILENT, inbound.more(more)).await, Ok(Ok(true))) {
-                        log::warn!("the coordinator's connection has ended");
-                        self.link = None;
-                        sleep(RETRY).await;
+                    // All that was on its way has come once nothing more does for a moment; what has to come at once
+                    // and does not is not there.
+                    let (settles, proves) = {
+                        let numbering = self.numbering.borrow();
+                        (numbering.current_at().filter(|_| !self.told_current), numbering.proves_by())
+                    };
+                    let due = settles.or(proves).map(|at| self.clock.instant(at) + Duration::from_millis(1));
+                    let limit = due.map_or(SILENT, |at| at.duration_since(Instant::now()));
+                    match timeout(limit, inbound.more(more)).await {
+                        Ok(Ok(true)) => {}
+                        Err(_) if settles.is_some() => {
+                            self.told_current = self.numbering.borrow().current(self.clock.now());
+                            if self.told_current {
+                                self.pace.answered(self.clock.now());
+                                return Word::Alive;
+                            }
+                        }
+                        Err(_) if proves.is_some() => {
+                            let next = self.numbering.borrow_mut().alive(self.clock.now());
+                            log::warn!("the coordinator has nothing where it was asked: {next:?}");
+                            self.hang_up(false);
+                            self.pause().await;
+                        }
+                        ended => {
+                            log::warn!("the coordinator's connection has ended");
+                            self.hang_up(ended.is_err());
+                            self.pause().await;
+                        }
                     }
                 }
                 Err(Malformed(why)) => {
                     log::warn!("the coordinator's connection is closed: {why}");
-                    self.link = None;
-                    sleep(RETRY).await;
+                    self.hang_up(false);
+                    self.pause().await;
                 }
             }
         }
@@ -112,12 +195,13 @@
         count(Count::feed_connects);
         match timeout(CONNECT, link::connect(self.address)).await {
             Ok(Ok((inbound, outbound))) => {
-                outbound.send([Bytes::copy_from_slice(&self.last.get().to_be_bytes())], [None, None]);
-                (self.link, self.new) = (Some((inbound, outbound)), true);
+                let asked = self.numbering.borrow_mut().ask(self.clock.now());
+                outbound.send([Bytes::copy_from_slice(&asked.to_be_bytes())], [None, None]);
+                (self.link, self.told_current) = (Some((inbound, outbound)), false);
             }
             Ok(Err(error)) => {
                 log::debug!("no connection to the coordinator: {error}");
-                sleep(RETRY).await;
+                self.pause().await;
             }
             Err(_) => {}
         }
--- a/crates/flaxdeck-wire/src/frames.rs
+++ b/crates/flaxdeck-wire/src/frames.rs
@@ -23,6 +23,51 @@
     Purged { object: Option<ObjectId>, group: GroupId, made: Time },
 }
 
+impl Event {
+    pub fn is_whole_list(&self) -> bool {
+        matches!(self, Event::Hosts(Coverage::Whole, _))
+    }
+
+    /// A hash of what it tells, the same whether it came in a frame or in a file, in whatever order its lines stand.
+    pub fn hash(&self) -> u64 {
+        let line = |station: &Station| {
+            let Station { listed, address } = station;
+            let words = [
+                (listed.weight * 1000.0).round() as u64,
+                listed.zone.map_or(u64::MAX, |zone| zone.0 as u64),
+                listed.cell.0,
+                listed.role as u64,
+                listed.standing as u64,
+                listed.started.map_or(0, |at| at.ms() as u64),
+                u64::from(address.port()),
+            ];
+            let host = fold(0, listed.host.0.as_bytes());
+            words.iter().fold(fold(host, address.ip().to_string().as_bytes()), |hash, word| {
+                fold(hash, &word.to_be_bytes())
+            })
+        };
+        let hash = match self {
+            Event::Hosts(coverage, stations) => {
+                let lines = stations.iter().map(line).fold(0u64, u64::wrapping_add);
+                fold(1 + *coverage as u64, &lines.to_be_bytes())
+            }
+            Event::Purged { object, group, made } => {
+                let words = [object.map_or(0, |object| object.0), group.0, made.ms() as u64];
+                let named = 8 + u64::from(object.is_some());
+                words.iter().fold(named, |hash, word| fold(hash, &word.to_be_bytes()))
+            }
+        };
+        hash.max(1) // zero stands for an event that is not known
+    }
+}
+
+/// FNV-1a over the bytes, each step mixed: two events of one number are told apart, no adversary is met.
+fn fold(hash: u64, bytes: &[u8]) -> u64 {
+    let step = |hash: u64, byte: &u8| (hash ^ u64::from(*byte)).wrapping_mul(0x100_0000_01b3);
+    let hash = bytes.iter().fold(hash ^ 0xcbf2_9ce4_8422_2325, step);
+    (hash ^ (hash >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
+}
+
 /// Events with their numbers, in their order.
 pub type Numbered = Vec<(u64, Event)>;
 
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -822,7 +822,8 @@
 
     // Guards against purged copies, wherever they lie: no copy from before the youngest purge will do.
     fn oldest(&self, pull: &Pull, fresh: Option<Span>) -> Option<Span> {
-        let hit = |object: Option<_>, group| object.map_or(group == pull.group, |it| it == pull.object);
+        let group_hit = |group| group == GroupId::ALL || group == pull.group;
+        let hit = |object: Option<_>, group| object.map_or(group_hit(group), |it| it == pull.object);
         let hits = self.purges.iter().filter(|(object, group, _)| hit(*object, *group));
         let made = hits.map(|(.., made)| *made).max()?;
         let age = self.now.since(made).less(HAIR).max(HAIR);
--- a/src/words.rs
+++ b/src/words.rs
@@ -76,6 +76,12 @@
 pub struct ObjectId(pub u64);
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct GroupId(pub u64);
+
+impl GroupId {
+    /// Stands for all groups where a purge is told.
+    pub const ALL: GroupId = GroupId(u64::MAX);
+}
+
 /// A place in [`Terms::workloads`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct WorkloadId(pub usize);
