--- a/crates/flaxdeck-cli/src/files.rs
+++ b/crates/flaxdeck-cli/src/files.rs
@@ -1,7 +1,7 @@
 //! The files that the sub-commands read: the platform's JSON and the operator's plan with its key.
 
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
 use flaxdeck::words::Span;
@@ -18,13 +18,18 @@
     std::fs::read_to_string(file).map_err(|error| faulty(format!("{file}: cannot be read: {error}")))
 }
 
+/// A path that stands in a file, relative to that file's own place.
+pub fn beside(file: &str, path: &str) -> PathBuf {
+    Path::new(file).parent().unwrap_or(Path::new("")).join(path)
+}
+
 /// The plan with its shared key; the key's file is looked for beside the plan.
 pub fn plan(file: &str) -> Result<(Plan, Key), Stop> {
     let lines = |faults: Vec<flaxdeck_plan::Fault>| {
         faulty(faults.iter().map(ToString::to_string).collect::<Vec<_>>().join("\n"))
     };
     let plan = flaxdeck_plan::read(file, &text(file)?).map_err(lines)?;
-    let path = Path::new(file).parent().unwrap_or(Path::new("")).join(&plan.key_file);
+    let path = beside(file, &plan.key_file);
     let path = path.to_string_lossy();
     let key = Key::from_hex(&text(&path)?).map_err(|why| faulty(format!("{path}: {why}")))?;
     Ok((plan, key))
@@ -50,6 +55,12 @@
 }
 
 impl World {
+    /// Where the instance listens: the name that its state bears.
+    pub fn listen(&self) -> Result<String, Stop> {
+        let listen = || Fields::of(&self.value, "the whole")?.text("listen").map(str::to_owned);
+        listen().map_err(|fault: String| faulty(format!("{}: {fault}", self.file)))
+    }
+
     /// The feed from the coordinator, and what it has said already, for an instance of that name.
     pub fn feed(&self, name: &str) -> Result<(Feed, Numbered), String> {
         let feed = || {
--- a/crates/flaxdeck-cli/src/main.rs
+++ b/crates/flaxdeck-cli/src/main.rs
@@ -7,13 +7,14 @@
 mod log;
 mod recovery;
 mod shapes;
+mod state;
 
 use std::process::ExitCode;
 use std::time::Duration;
 
 use clap::{Args, Parser, Subcommand};
 use flaxdeck::words::Span;
-use flaxdeck_dispatcher::Guidelines;
+use flaxdeck_dispatcher::{Guidelines, Keeps};
 use flaxdeck_guidance::Parts;
 use flaxdeck_guidance::forwarder::Stance;
 use flaxdeck_lab::Limits;
@@ -137,6 +138,15 @@
         #[arg(long)]
         json: bool,
     },
+    /// Tell what a forwarder's state folder holds, how old it is, and what of it would be believed now and why
+    ///
+    /// Changes nothing. Exit code 0 if it can be read whole, 1 if it is damaged or empty.
+    State {
+        folder: String,
+        /// Print JSON, for programs
+        #[arg(long)]
+        json: bool,
+    },
     /// Check a plan and print its faults as file:line:column: what, why, how to mend
     Check {
         /// The plan
@@ -193,6 +203,7 @@
             let asked = compare::Asked { a, b, limits, judged, json };
             compare::compare(&asked)
         }
+        Command::State { folder, json } => state::show(&folder, json),
         Command::Check { file, explain, json, window_ms } => check(&file, explain, json, window_ms),
     };
     match done {
@@ -221,7 +232,14 @@
     let (plan, key) = files::plan(plan)?;
     let world = files::world(&files.config)?;
     let _log = log::start(&plan.log_levels, plan.log_form)?;
+    let file = files.plan.as_deref().unwrap_or_default();
+    let folder = plan.state_folder.as_ref().map(|folder| files::beside(file, folder));
+    let keeps = match folder {
+        Some(folder) => Some(Keeps { folder, name: world.listen()? }),
+        None => None,
+    };
     let guidelines = Guidelines {
+        keeps,
         planners: plan.planners.iter().map(|planner| planner.listen).collect(),
         key,
         stance: stance(&plan, files::pledges(&plan, world.window)),
--- a/crates/flaxdeck-cli/src/recovery.rs
+++ b/crates/flaxdeck-cli/src/recovery.rs
@@ -36,6 +36,17 @@
     Cold,
 }
 
+/// What forwarders keep over the kill.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum State {
+    /// They keep nothing at all
+    None,
+    /// What they kept is there
+    Kept,
+    /// It is gone
+    Lost,
+}
+
 #[derive(Args)]
 pub struct Asked {
     /// Worlds to play
@@ -50,6 +61,9 @@
     /// Numbers of planners
     #[arg(long, value_delimiter = ',', default_value = "0,2")]
     planners: Vec<usize>,
+    /// What forwarders keep over the kill
+    #[arg(long, value_enum, value_delimiter = ',', default_value = "none")]
+    state: Vec<State>,
     /// Load, of what the caches serve if all is held
     #[arg(long, default_value_t = 0.6)]
     load: f64,
@@ -84,6 +98,7 @@
     forwarders: usize,
     planners: usize,
     killed: f64,
+    state: State,
     seed: u64,
 }
 
@@ -100,11 +115,12 @@
         return Err(faulty("--killed takes parts from 0 to 1"));
     }
     println!(
-        "{:<12} {:>10} {:>8} {:>6}  {:>13} {:>9}  {:>7} {:>10} {:>6}  {:>10} {:>12} {:>11} {:>13} {:>9} {:>6}",
+        "{:<12} {:>10} {:>8} {:>6} {:>6}  {:>13} {:>9}  {:>7} {:>10} {:>6}  {:>10} {:>12} {:>11} {:>13} {:>9} {:>6}",
         "world",
         "forwarders",
         "planners",
         "killed",
+        "state",
         "full, s: med.",
         "worst",
         "in hand",
@@ -121,15 +137,13 @@
     for place in &asked.worlds {
         for forwarders in &asked.forwarders {
             for planners in &asked.planners {
-                for killed in &asked.killed {
-                    let shape = Shape {
-                        place: *place,
-                        forwarders: *forwarders,
-                        planners: *planners,
-                        killed: *killed,
-                        seed: 0,
-                    };
-                    broken += row(asked, shape)?;
+                for (killed, state) in asked
+                    .killed
+                    .iter()
+                    .flat_map(|killed| asked.state.iter().map(move |state| (*killed, *state)))
+                {
+                    let (place, forwarders, planners, seed) = (*place, *forwarders, *planners, 0);
+                    broken += row(asked, Shape { place, forwarders, planners, killed, state, seed })?;
                 }
             }
         }
@@ -171,11 +185,12 @@
     let [median, worst] = service::median_and_worst(&times);
     let told = |time: Option<f64>| time.map_or("never".to_owned(), |ms| format!("{:.1}", ms / 1000.0));
     println!(
-        "{:<12} {:>10} {:>8} {:>6}  {:>13} {:>9}  {:>7.0} {:>10.0} {:>6.0}  {:>10} {:>12} {:>11} {:>13} {:>9.2} {:>6}",
+        "{:<12} {:>10} {:>8} {:>6} {:>6}  {:>13} {:>9}  {:>7.0} {:>10.0} {:>6.0}  {:>10} {:>12} {:>11} {:>13} {:>9.2} {:>6}",
         format!("{:?}", shape.place).to_lowercase(),
         shape.forwarders,
         shape.planners,
         shape.killed,
+        format!("{:?}", shape.state).to_lowercase(),
         told(median),
         told(worst),
         mean(|lost| lost.in_hand),
@@ -239,7 +254,15 @@
         first_file: shape.place == Where::Lists,
         ..Setup::of(binary, shape.planners, shape.forwarders)
     };
+    let setup = Setup { state: shape.state != State::None, ..setup };
     let mut fleet = Fleet::start(world, setup)?;
+    if shape.state != State::None {
+        // State is kept from the second start on.
+        for at in 0..shape.forwarders {
+            fleet.cause(&Fault::KillForwarder(at))?;
+            fleet.cause(&Fault::StartForwarder(at))?;
+        }
+    }
     let begins = fleet.world.now() + SETTLED;
     let rate = asked.load * asked.caches as f64 * asked.places / MEAN_WORK * 1000.0;
     let load = Load {
@@ -269,6 +292,9 @@
     let count = (shape.killed * shape.forwarders as f64).round() as usize;
     let planners = if shape.killed >= 1.0 || shape.killed > 0.0 { shape.planners } else { 0 };
     script.extend((0..count).map(|at| (begins + KILLED, Fault::KillForwarder(at))));
+    if shape.state == State::Lost {
+        script.extend((0..count).map(|at| (begins + KILLED + 1.0, Fault::LoseState(at))));
+    }
     script.extend((0..planners).map(|at| (begins + KILLED, Fault::KillPlanner(at))));
     script.extend((0..planners).map(|at| (begins + UP, Fault::StartPlanner(at))));
     script.extend((0..count).map(|at| (begins + UP, Fault::StartForwarder(at))));
--- /dev/null
+++ b/crates/flaxdeck-cli/src/state.rs
@@ -0,0 +1,58 @@
+//! `flaxdeck state`: what a forwarder's state folder holds, and what of it would be believed.
+
+use std::path::Path;
+
+use flaxdeck::words::Span;
+use flaxdeck_net::clock::since_boot;
+use flaxdeck_recovery::Mark;
+use flaxdeck_recovery::belief::{self, Kept, Now, Uptime};
+use flaxdeck_store::{Folder, look};
+
+use crate::{Stop, faulty};
+
+pub fn show(folder: &str, json: bool) -> Result<(), Stop> {
+    if !Path::new(folder).is_dir() {
+        return Err(faulty(format!("{folder}: there is no such folder")));
+    }
+    let mut disk = Folder::open(Path::new(folder)).map_err(|error| faulty(format!("{folder}: {error}")))?;
+    let found = look(&mut disk);
+    let damage = found.damage.as_ref().map(ToString::to_string);
+    let kept = found.snapshot.as_ref().map(|snapshot| Kept::read(snapshot, &found.records));
+    let (boot, ms) = since_boot();
+    let now = Now { uptime: Uptime { boot, ms }, file: Mark::NONE, waits: Span::ZERO };
+    let read = kept.as_ref().and_then(|kept| kept.as_ref().ok()).cloned();
+    let verdicts = read.clone().map(|kept| belief::judge(kept, now).verdicts).unwrap_or_default();
+    let (event, hosts) = read.as_ref().map_or((0, 0), |kept| (kept.event.number, kept.lines.len()));
+    if json {
+        let rows: Vec<_> = verdicts
+            .iter()
+            .map(|verdict| serde_json::json!({"item": verdict.item, "believed": verdict.believed, "why": verdict.why}))
+            .collect();
+        println!(
+            "{}",
+            serde_json::json!({"instance": found.name, "generation": found.generation, "event": event,
+                "hosts": hosts, "records": found.records.len(), "damage": damage, "judged": rows})
+        );
+    } else if read.is_some() {
+        println!(
+            "state of {}, generation {}, {} records after the snapshot",
+            found.name,
+            found.generation,
+            found.records.len()
+        );
+        for verdict in &verdicts {
+            println!(
+                "  {:<8} {}: {}",
+                verdict.item,
+                if verdict.believed { "yes" } else { "no " },
+                verdict.why
+            );
+        }
+    }
+    match (damage, kept) {
+        (Some(damage), _) => Err(Stop(1, format!("{folder}: damaged: {damage}"))),
+        (None, None) => Err(Stop(1, format!("{folder}: no state is kept here"))),
+        (None, Some(Err(_))) => Err(Stop(1, format!("{folder}: the state is of another version"))),
+        (None, Some(Ok(_))) => Ok(()),
+    }
+}
--- a/crates/flaxdeck-cli/tests/coming_back.rs
+++ b/crates/flaxdeck-cli/tests/coming_back.rs
@@ -2,7 +2,8 @@
 //! a coordinator that may have lost its own memory, with clocks that were set. Each world's record goes to the checker
 //! of the rules.
 
-use std::path::PathBuf;
+use std::fs;
+use std::path::{Path, PathBuf};
 use std::thread::sleep;
 use std::time::Duration;
 
@@ -237,3 +238,135 @@
     let back: Vec<String> = fleet.lines().into_iter().filter(|line| line.contains("back: ")).collect();
     assert_eq!(back.iter().filter(|line| line.contains("Listed")).count(), 1, "{back:#?}");
 }
+
+/// State is kept from the second start on.
+fn with_state(planners: usize, forwarders: usize) -> Setup {
+    Setup { state: true, first_file: true, ..setup(planners, forwarders) }
+}
+
+fn copy(from: &Path, to: &Path) {
+    let _ = fs::remove_dir_all(to);
+    fs::create_dir_all(to).unwrap();
+    for file in fs::read_dir(from).unwrap() {
+        let file = file.unwrap();
+        fs::copy(file.path(), to.join(file.file_name())).unwrap();
+    }
+}
+
+/// Kills and starts all forwarders, with something done to their state in between; gives what was logged since.
+fn restart_all(fleet: &mut Fleet, count: usize, meanwhile: impl FnOnce(&mut Fleet)) -> Vec<String> {
+    let before = fleet.lines().len();
+    for n in 0..count {
+        fleet.cause(&Fault::KillForwarder(n)).unwrap();
+    }
+    meanwhile(fleet);
+    for n in 0..count {
+        fleet.cause(&Fault::StartForwarder(n)).unwrap();
+    }
+    sleep(Duration::from_millis(700));
+    fleet.lines().split_off(before)
+}
+
+fn count(lines: &[String], words: &str) -> usize {
+    lines.iter().filter(|line| line.contains(words)).count()
+}
+
+#[test]
+fn a_drain_known_before_the_kill_is_obeyed_though_nobody_can_be_reached_after_it() {
+    let mut fleet = fleet(Setup { blind: "(blind (then go-on))", ..with_state(1, 2) }, Layout::default());
+    let caches = fleet.world.hosts(Kind::Cache);
+    restart_all(&mut fleet, 2, |_| {});
+    let (clients, begins) = clients(&fleet, 40.0, 5_000.0);
+    let mut script = vec![(begins + 300.0, Fault::Drain(caches[0].clone()))];
+    script.extend(all(2, begins + 1_400.0, Fault::KillForwarder));
+    script.extend((0..2).map(|n| (begins + 1_400.0, Fault::CoordinatorWire(n, Wire::Cut))));
+    script.extend((0..2).map(|n| (begins + 1_400.0, Fault::PlannerWire(n, 0, Wire::Cut))));
+    script.extend(all(2, begins + 1_600.0, Fault::StartForwarder));
+    fleet.play(&script).unwrap();
+    kept(&fleet, &clients);
+    let after = finished(&clients, begins + 2_200.0, begins + 5_000.0);
+    assert!(after > 0.97, "{after} finished on the kept list alone");
+}
+
+#[test]
+fn kept_state_gives_shares_back_at_once_and_any_spoilt_one_is_as_none() {
+    let mut fleet = fleet(with_state(1, 2), Layout::default());
+    let lines = restart_all(&mut fleet, 2, |_| {});
+    assert_eq!(count(&lines, "back: Vouched"), 2, "none is kept yet: {lines:#?}");
+    let (clients, _) = clients(&fleet, 30.0, 9_000.0);
+    sleep(Duration::from_millis(2_500)); // until what was seen of hosts is kept
+    let lines = restart_all(&mut fleet, 2, |_| {});
+    assert_eq!(count(&lines, "back: Full"), 2, "nothing was lent: {lines:#?}");
+    assert_eq!(count(&lines, "kept ratings: believed"), 2, "{lines:#?}");
+    let old = fleet.state(0).with_extension("old");
+    copy(&fleet.state(0), &old);
+    // One lost, one with a flipped bit in its snapshot.
+    let lines = restart_all(&mut fleet, 2, |fleet| {
+        fs::remove_dir_all(fleet.state(0)).unwrap();
+        let path = fleet.state(1).join("snapshot");
+        let mut bytes = fs::read(&path).unwrap();
+        let middle = bytes.len() / 2;
+        bytes[middle] ^= 4;
+        fs::write(&path, bytes).unwrap();
+    });
+    assert_eq!(count(&lines, "back: Vouched"), 2, "{lines:#?}");
+    assert_eq!(count(&lines, "snapshot at byte"), 1, "{lines:#?}");
+    // One cut in the log, one with the other's state.
+    let lines = restart_all(&mut fleet, 2, |fleet| {
+        let path = fleet.state(0).join("log");
+        let bytes = fs::read(&path).unwrap();
+        fs::write(&path, &bytes[..bytes.len() - 1]).unwrap();
+        copy(&fleet.state(0), &fleet.state(1));
+    });
+    assert_eq!(count(&lines, "none is used"), 1, "{lines:#?}");
+    assert_eq!(count(&lines, "nothing is lent: it is the store of"), 1, "{lines:#?}");
+    // One from earlier, one whose folder is a file.
+    let caches = fleet.world.hosts(Kind::Cache);
+    fleet.cause(&Fault::Drain(caches[0].clone())).unwrap();
+    sleep(Duration::from_millis(1_100));
+    let lines = restart_all(&mut fleet, 2, |fleet| {
+        copy(&old, &fleet.state(0));
+        fs::remove_dir_all(fleet.state(1)).unwrap();
+        fs::write(fleet.state(1), "no folder").unwrap();
+    });
+    assert_eq!(count(&lines, "can't be opened"), 1, "{lines:#?}");
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.finished * 10 > verdict.asked * 8, "service went on: {verdict:?}");
+}
+
+#[test]
+fn what_was_lent_is_known_to_the_next_run() {
+    let layout = Layout { caches: 1, cache_places: 32.0, cold_from: 0.1, ..Layout::default() };
+    let mut fleet = fleet(with_state(1, 2), layout);
+    restart_all(&mut fleet, 2, |_| {});
+    let cache = fleet.world.hosts(Kind::Cache)[0].clone();
+    // The second forwarder has little to do and lends; it is killed while that is out, twice.
+    let begins = fleet.world.now() + 4_800.0;
+    let load = Load {
+        seed: 5,
+        rates: vec![200.0, 10.0],
+        objects: 300,
+        power: 0.8,
+        writes: 0.0,
+        from_ms: begins,
+        to_ms: begins + 7_000.0,
+        wait_ms: 2_500,
+        names_from: 0,
+    };
+    let clients = fleet.world.seekers(&fleet.addresses(), &load, &ALL);
+    let script = [
+        (begins + 300.0, Fault::RestartHost(cache)),
+        (begins + 2_500.0, Fault::KillForwarder(1)),
+        (begins + 2_600.0, Fault::StartForwarder(1)),
+        (begins + 4_500.0, Fault::KillForwarder(1)),
+        (begins + 4_600.0, Fault::StartForwarder(1)),
+    ];
+    fleet.play(&script).unwrap();
+    kept(&fleet, &clients);
+    assert_eq!(fleet.world.fell_over(), 0);
+    assert!(
+        logged(&fleet, "kept shares: believed: nothing that was lent is out after") >= 1,
+        "{:#?}",
+        fleet.lines()
+    );
+}
--- a/crates/flaxdeck-dispatcher/src/lib.rs
+++ b/crates/flaxdeck-dispatcher/src/lib.rs
@@ -6,4 +6,4 @@
 mod routing;
 
 pub use program::{run, run_guided};
-pub use routing::Guidelines;
+pub use routing::{Guidelines, Keeps};
--- a/crates/flaxdeck-dispatcher/src/program/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/program/mod.rs
@@ -13,11 +13,12 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::{Instant, interval, sleep};
 
-use crate::routing::{Guidelines, Router, accept};
+use crate::routing::{Guidelines, Keeps, Router, accept, recall};
 use flaxdeck_guidance::messages::Epoch;
 use flaxdeck_net::clock::Clock;
 use flaxdeck_net::listener::Listener;
 use flaxdeck_net::tally::{self, Count, count};
+use flaxdeck_talk::feed::{Event, Feed, Numbered};
 
 /// Between lines of counters in the log.
 const COUNTERS: Duration = Duration::from_secs(10);
@@ -55,15 +56,20 @@
     let signals = |kind| signal(kind).map_err(|error| format!("no signals: {error}"));
     let (mut asked_to_end, mut asked_to_reload) =
         (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
-    let start::Start { address, feed, known, terms, names, carriage, bounds, seed, settings } =
+    let start::Start { address, feed, mut known, terms, names, carriage, bounds, seed, settings } =
         start::read(path, guidelines.is_none())?;
     let router = Router::new(clock, seed, terms, names, carriage, bounds);
     // A guided forwarder keeps to what is its own from the first list on.
     if let Some(guidelines) = guidelines {
         let epoch = Epoch::new(clock.now(), std::process::id());
+        let (keeps, waits) = (guidelines.keeps.clone(), guidelines.stance.pledges.forwarder_waits());
         router.guide_by(epoch, seed, guidelines, feed.numbering());
+        if let Some(keeps) = keeps {
+            come_back(&router, &feed, clock, &keeps, &mut known, waits);
+        }
     }
-    known.into_iter().for_each(|(_, event)| router.told(event));
+    let last = feed.numbering().borrow().last();
+    known.into_iter().for_each(|(_, event)| router.told(last, event));
     let guided = router.is_guided();
     spawn_local(router.clone().follow(feed));
     spawn_local(router.clone().keep_time());
@@ -94,9 +100,32 @@
         rests = if router.at_rest() { rests + 1 } else { 0 };
     }
     log_line(&router);
+    router.keep_last();
     Ok(())
 }
 
+/// What an earlier run has kept, in place of or beside what the configuration tells.
+fn come_back(
+    router: &Rc<Router>,
+    feed: &Feed,
+    clock: Clock,
+    keeps: &Keeps,
+    known: &mut Numbered,
+    waits: Span,
+) {
+    let mut recalled = recall(keeps, clock, feed.numbering().borrow().last(), waits);
+    if let Some(event) = recalled.event {
+        feed.numbering().borrow_mut().begin_at(event);
+        known.clear();
+    }
+    let last = feed.numbering().borrow().last();
+    known.splice(0..0, std::mem::take(&mut recalled.events).into_iter().map(|event| (last.number, event)));
+    // Told before the hints about hosts, and kept as the first snapshot.
+    let events: Vec<Event> = std::mem::take(known).into_iter().map(|(_, event)| event).collect();
+    events.iter().for_each(|event| router.told(last, event.clone()));
+    router.take_up(recalled, keeps, &events, last);
+}
+
 /// Reads the configuration again. The coordinator, its events and the limits change in place; what can't is
 /// said, and one that can't be used changes nothing.
 fn reload(path: Option<&str>, router: &Router, address: SocketAddr, settings: &Value, guided: bool) {
--- a/crates/flaxdeck-dispatcher/src/routing/guides.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/guides.rs
@@ -22,10 +22,12 @@
 use flaxdeck_talk::seal::Key;
 use flaxdeck_wire::frames;
 use tokio::sync::Notify;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::spawn_local;
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep, sleep_until};
 
 use super::Router;
+use super::keep::{Keeper, Keeps, Recalled, Wrote};
 
 /// Between tries to reach a planner: as short as a report or two at first; at most as long as a planner may be silent
 /// until its hosts' lives are another's.
@@ -38,6 +40,8 @@
     pub key: Key,
     pub stance: Stance,
     pub report_every: Duration,
+    /// Where this forwarder keeps its state, if it does.
+    pub keeps: Option<Keeps>,
 }
 
 pub struct Guides {
@@ -123,6 +127,55 @@
         guides.lines.borrow_mut().extend(told);
     }
 
+    /// Takes up what an earlier run left; from then on all that is told is kept. Gives what is to be kept at first.
+    pub fn take_up(self: &Rc<Router>, recalled: Recalled, keeps: &Keeps, first: &[Event], last: Mark) {
+        let Some(guides) = self.guides.borrow().clone() else { return };
+        let now = self.clock.now();
+        {
+            let mut guide = guides.guide.borrow_mut();
+            recalled.waits.into_iter().for_each(|waits| guide.owns_after(now, waits));
+            guide.needs_leave(now);
+            let mut guided = guide.hints(now);
+            guided.hints.extend(recalled.hints);
+            drop(guide);
+            self.report(News::Guided(guided));
+        }
+        let keeper = Keeper::begin(keeps, self.clock, first, last);
+        if let Some(wrote) = keeper.wrote() {
+            spawn_local(self.clone().hear_writer(guides, keeper.clone(), wrote));
+        }
+        *self.keeper.borrow_mut() = Some(keeper);
+    }
+
+    async fn hear_writer(
+        self: Rc<Router>,
+        guides: Rc<Guides>,
+        keeper: Rc<Keeper>,
+        mut wrote: UnboundedReceiver<Wrote>,
+    ) {
+        while let Some(wrote) = wrote.recv().await {
+            match wrote {
+                Wrote::Begun(generation) => log::info!("state is kept, generation {generation}"),
+                Wrote::Leave(until) => {
+                    keeper.answered();
+                    guides.guide.borrow_mut().has_leave(until);
+                }
+                Wrote::Broken(why) => {
+                    count(Count::state_broken);
+                    log::error!("no state is kept any more, and nothing is lent: {why}");
+                }
+            }
+        }
+    }
+
+    /// Keeps a last state at the end of the process.
+    pub fn keep_last(&self) {
+        let keeper = self.keeper.borrow().clone();
+        if let Some(keeper) = keeper {
+            keeper.last(&self.facade.borrow().sights(self.clock.now()));
+        }
+    }
+
     /// Lines of hosts that an event tells are kept, to be held against a list that comes in place of what follows.
     pub(super) fn keep_told(&self, event: &Event) {
         let Some(guides) = self.guides.borrow().clone() else { return };
@@ -161,7 +214,11 @@
                 ))
             );
         }
-        self.apply(Event::Hosts(coverage, stations));
+        let event = Event::Hosts(coverage, stations);
+        if let Some(keeper) = &*self.keeper.borrow() {
+            keeper.event(mark, &event);
+        }
+        self.apply(event);
         if let Some(made) = copies {
             self.report(News::Purged { object: None, group: GroupId::ALL, made });
         }
@@ -233,6 +290,12 @@
             }
             // What was lent is not used from this moment on.
             self.tell_brain(&guides);
+            let keeper = self.keeper.borrow().clone();
+            if let Some(keeper) = keeper {
+                let leave = guides.guide.borrow_mut().asks_leave(now);
+                leave.into_iter().for_each(|until| keeper.leave(until));
+                keeper.tick(&sights);
+            }
             let back = guides.doubted.borrow_mut().run_out(now);
             if !back.is_empty() {
                 log::warn!(
@@ -300,7 +363,7 @@
                                     break;
                                 }
                                 count(Count::events_relayed);
-                                event.into_iter().for_each(|event| self.told(event));
+                                event.into_iter().for_each(|event| self.told(relayed.mark, event));
                             }
                             Err(malformed) => {
                                 count(Count::events_unreadable);
--- /dev/null
+++ b/crates/flaxdeck-dispatcher/src/routing/keep.rs
@@ -0,0 +1,310 @@
+//! What a forwarder keeps over its end, and takes up again: events, what was seen of hosts, and up to when it has
+//! lent. A thread of its own writes it, so no pull waits for a disk; whatever is wrong with the store, the forwarder
+//! serves as one that has none. What of it is believed is decided in `flaxdeck_recovery::belief`.
+
+use std::cell::{Cell, RefCell};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::mpsc::{Receiver, SyncSender, TrySendError, sync_channel};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use flaxdeck::words::*;
+use flaxdeck_net::clock::{Clock, since_boot};
+use flaxdeck_net::tally::{Count, count};
+use flaxdeck_recovery::Mark;
+use flaxdeck_recovery::belief::{self, Believed, Kept, KeptLine, KeptPurge, KeptRating, Later, Now, Uptime};
+use flaxdeck_store::{Folder, Store, look};
+use flaxdeck_talk::feed::Event;
+use flaxdeck_wire::frames::Station;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+
+/// Things that may wait for the disk; past that a whole snapshot takes their place.
+const WAITING: usize = 1_024;
+/// Between snapshots: what was seen of hosts in the last of it is lost by a kill.
+const EVERY: Span = Span::from_ms(2_000);
+/// How long the end waits for the last snapshot.
+const LAST: Duration = Duration::from_millis(200);
+
+/// Where a forwarder keeps its state, and under which name.
+#[derive(Clone, Debug)]
+pub struct Keeps {
+    pub folder: PathBuf,
+    pub name: String,
+}
+
+enum Job {
+    Snapshot(Vec<u8>),
+    Record(Vec<u8>),
+    /// A record, to be answered once it is on the disk.
+    Leave(Vec<u8>, Time),
+    Last(Vec<u8>, SyncSender<()>),
+}
+
+/// What the writer tells.
+pub enum Wrote {
+    Begun(u64),
+    Leave(Time),
+    Broken(String),
+}
+
+pub struct Keeper {
+    clock: Clock,
+    kept: RefCell<Kept>,
+    jobs: SyncSender<Job>,
+    wrote: RefCell<Option<UnboundedReceiver<Wrote>>>,
+    /// The queue was full: what it missed comes with the next snapshot.
+    behind: Cell<bool>,
+    next: Cell<Time>,
+    /// Leave that was asked for and not answered.
+    asked: Cell<Option<Time>>,
+}
+
+fn uptime() -> Uptime {
+    let (boot, ms) = since_boot();
+    Uptime { boot, ms }
+}
+
+fn line(station: &Station) -> KeptLine {
+    let Listed { host, weight, zone, cell, role, standing, started } = station.listed.clone();
+    KeptLine {
+        host: host.0.to_string(),
+        address: station.address,
+        weight,
+        zone: zone.map(|zone| zone.0 as u32),
+        cell: cell.0,
+        role: match role {
+            Role::Cache => 0,
+            Role::Parent => 1,
+            Role::Origin => 2,
+        },
+        standing: match standing {
+            Standing::InService => 0,
+            Standing::Draining => 1,
+            Standing::Gone => 2,
+        },
+        started: started.map_or(0, |at| at.ms() as u64),
+    }
+}
+
+fn station(line: &KeptLine) -> Station {
+    let listed = Listed {
+        host: HostId(line.host.as_str().into()),
+        weight: line.weight,
+        zone: line.zone.map(|zone| ZoneId(zone as usize)),
+        cell: CellId(line.cell),
+        role: [Role::Cache, Role::Parent, Role::Origin][usize::from(line.role.min(2))],
+        standing: [Standing::InService, Standing::Draining, Standing::Gone]
+            [usize::from(line.standing.min(2))],
+        started: Some(line.started).filter(|ms| *ms > 0).map(|ms| Time::at_ms(ms as f64)),
+    };
+    Station { listed, address: line.address }
+}
+
+/// What an earlier run left, as far as it is to be believed, in the form of events and of what was seen.
+pub struct Recalled {
+    pub event: Option<Mark>,
+    pub events: Vec<Event>,
+    pub hints: Vec<Hint>,
+    pub waits: Option<Span>,
+}
+
+/// Reads the store and judges it; a store that can't be read is told of and passed over.
+pub fn recall(keeps: &Keeps, clock: Clock, file: Mark, waits: Span) -> Recalled {
+    let begun = Instant::now();
+    let mut recalled = Recalled { event: None, events: Vec::new(), hints: Vec::new(), waits: None };
+    let mut folder = match Folder::open(&keeps.folder) {
+        Ok(folder) => folder,
+        Err(error) => {
+            log::error!("the state's folder {} can't be opened: {error}", keeps.folder.display());
+            return recalled;
+        }
+    };
+    let found = look(&mut folder);
+    if let Some(damage) = &found.damage {
+        count(Count::state_damaged);
+        log::warn!("the state is read up to its damage, {damage}");
+    }
+    let Some(snapshot) = &found.snapshot else {
+        log::info!("no state is kept in {}", keeps.folder.display());
+        return recalled;
+    };
+    if found.name != keeps.name {
+        count(Count::state_damaged);
+        log::error!(
+            "the state in {} is of {}, not of {}: none is used",
+            keeps.folder.display(),
+            found.name,
+            keeps.name
+        );
+        return recalled;
+    }
+    let Ok(kept) = Kept::read(snapshot, &found.records) else {
+        count(Count::state_damaged);
+        log::error!("the state in {} is of another version: none is used", keeps.folder.display());
+        return recalled;
+    };
+    let Believed { event, lines, purges, ratings, waits, verdicts } =
+        belief::judge(kept, Now { uptime: uptime(), file, waits });
+    for verdict in verdicts {
+        let word = if verdict.believed { "believed" } else { "not believed" };
+        log::info!("kept {}: {word}: {}", verdict.item, verdict.why);
+    }
+    if event.is_some() {
+        recalled.events.push(Event::Hosts(Coverage::Whole, lines.iter().map(station).collect()));
+    }
+    recalled.events.extend(purges.into_iter().map(|KeptPurge { object, group, made }| Event::Purged {
+        object: object.map(ObjectId),
+        group: GroupId(group),
+        made: Time::at_ms(made as f64),
+    }));
+    let now = clock.now();
+    let ago = |ago: Option<u64>| ago.map(|ms| now - Span::from_ms(ms));
+    recalled.hints = ratings
+        .into_iter()
+        .map(|KeptRating { host, measures, measured_ago, good_ago, bad_ago, .. }| Hint {
+            host: HostId(host.as_str().into()),
+            share: None,
+            measures,
+            measured: ago(measured_ago),
+            down: ago(bad_ago),
+            good: ago(good_ago),
+            window: None,
+            others: None,
+        })
+        .collect();
+    (recalled.event, recalled.waits) = (event, waits);
+    let took = begun.elapsed().as_secs_f64() * 1000.0;
+    log::info!("state of generation {} read in {took:.1} ms", found.generation);
+    recalled
+}
+
+impl Keeper {
+    /// Begins to keep, from what is known now.
+    pub fn begin(keeps: &Keeps, clock: Clock, events: &[Event], event: Mark) -> Rc<Keeper> {
+        let mut kept = Kept { written: uptime(), event, ..Kept::default() };
+        for told in events {
+            kept.add(later(event, told));
+        }
+        let (jobs, work) = sync_channel(WAITING);
+        let (tells, wrote) = unbounded_channel();
+        let (folder, name, first) = (keeps.folder.clone(), keeps.name.clone(), belief::bytes(&kept));
+        thread::spawn(move || write(&folder, &name, &first, work, &tells));
+        Rc::new(Keeper {
+            clock,
+            kept: RefCell::new(kept),
+            jobs,
+            wrote: RefCell::new(Some(wrote)),
+            behind: Cell::new(false),
+            next: Cell::new(clock.now() + EVERY),
+            asked: Cell::new(None),
+        })
+    }
+
+    /// What the writer tells, for one listener.
+    pub fn wrote(&self) -> Option<UnboundedReceiver<Wrote>> {
+        self.wrote.borrow_mut().take()
+    }
+
+    fn give(&self, job: Job) {
+        if let Err(TrySendError::Full(_)) = self.jobs.try_send(job) {
+            count(Count::state_behind);
+            self.behind.set(true);
+        }
+    }
+
+    /// An event was applied.
+    pub fn event(&self, mark: Mark, event: &Event) {
+        let later = later(mark, event);
+        self.give(Job::Record(belief::bytes(&later)));
+        self.kept.borrow_mut().add(later);
+    }
+
+    /// Has leave to lend kept, unless some is on its way.
+    pub fn leave(&self, until: Time) {
+        let now = self.clock.now();
+        if self.asked.get().is_some_and(|asked| asked > now) {
+            return;
+        }
+        self.asked.set(Some(until));
+        let up = uptime();
+        let until_up = Uptime { ms: up.ms + until.since(now).ms().ceil() as u64 + 10, ..up };
+        let later = Later::LendsUntil(until_up);
+        self.give(Job::Leave(belief::bytes(&later), until));
+        self.kept.borrow_mut().add(later);
+    }
+
+    pub fn answered(&self) {
+        self.asked.set(None);
+    }
+
+    fn whole(&self, sights: &[Sight]) -> Vec<u8> {
+        let now = self.clock.now();
+        let ago = |at: Option<Time>| at.map(|at| now.since(at).ms() as u64);
+        let seen =
+            sights.iter().filter(|sight| [sight.measured, sight.good, sight.bad].iter().any(Option::is_some));
+        let rating = |sight: &Sight| KeptRating {
+            host: sight.host.0.to_string(),
+            started: sight.started.map_or(0, |at| at.ms() as u64),
+            measures: sight.measures,
+            measured_ago: ago(sight.measured),
+            good_ago: ago(sight.good),
+            bad_ago: ago(sight.bad),
+        };
+        let mut kept = self.kept.borrow_mut();
+        (kept.written, kept.ratings) = (uptime(), seen.map(rating).collect());
+        belief::bytes(&*kept)
+    }
+
+    /// Keeps a whole state if it is time.
+    pub fn tick(&self, sights: &[Sight]) {
+        let now = self.clock.now();
+        if now >= self.next.get() || self.behind.replace(false) {
+            self.next.set(now + EVERY);
+            self.give(Job::Snapshot(self.whole(sights)));
+        }
+    }
+
+    /// Keeps a last whole state, and waits for the disk a little.
+    pub fn last(&self, sights: &[Sight]) {
+        let (done, written) = sync_channel(1);
+        self.give(Job::Last(self.whole(sights), done));
+        let _ = written.recv_timeout(LAST); // what it does not take by then is as after a kill
+    }
+}
+
+fn later(mark: Mark, event: &Event) -> Later {
+    match event {
+        Event::Hosts(Coverage::Whole, stations) => Later::Whole(mark, stations.iter().map(line).collect()),
+        Event::Hosts(Coverage::Changes, stations) => Later::Lines(mark, stations.iter().map(line).collect()),
+        Event::Purged { object, group, made } => {
+            let object = object.map(|object| object.0);
+            Later::Purged(mark, KeptPurge { object, group: group.0, made: made.ms() as u64 })
+        }
+    }
+}
+
+fn write(folder: &Path, name: &str, first: &[u8], work: Receiver<Job>, tells: &UnboundedSender<Wrote>) {
+    let disk = Folder::open(folder).map_err(|error| flaxdeck_store::Broken(error.to_string()));
+    let mut store = match disk.and_then(|disk| Store::begin(disk, name, first)) {
+        Ok(store) => store,
+        Err(broken) => return drop(tells.send(Wrote::Broken(broken.0))),
+    };
+    let _ = tells.send(Wrote::Begun(store.generation()));
+    for job in work {
+        let told = match job {
+            Job::Snapshot(bytes) => store.snapshot(&bytes),
+            Job::Record(bytes) => store.record(&bytes),
+            Job::Leave(bytes, until) => store.record(&bytes).map(|()| drop(tells.send(Wrote::Leave(until)))),
+            Job::Last(bytes, done) => {
+                let told = store.snapshot(&bytes);
+                let _ = done.try_send(()); // whoever waited has gone on
+                told
+            }
+        };
+        if let Err(broken) = told {
+            let _ = tells.send(Wrote::Broken(broken.0));
+            return;
+        }
+    }
+}
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -3,6 +3,7 @@
 
 mod clients;
 mod guides;
+mod keep;
 mod pulls;
 
 use std::cell::{Cell, RefCell};
@@ -19,10 +20,12 @@
 
 pub use clients::accept;
 pub use guides::Guidelines;
+pub use keep::{Keeps, recall};
 
 use crate::protocol::pool::Pool;
 use flaxdeck_net::clock::Clock;
 use flaxdeck_net::room::{Bounds, Room};
+use flaxdeck_recovery::Mark;
 use flaxdeck_talk::feed::{Event, Feed, Numbered, Word};
 
 /// Between looks for connections that have been idle too long.
@@ -60,6 +63,8 @@
     guides: RefCell<Option<Rc<guides::Guides>>>,
     /// How long it takes until hosts have dropped by themselves what was purged.
     settles: Span,
+    /// What outlasts this process, where something does.
+    keeper: RefCell<Option<Rc<keep::Keeper>>>,
 }
 
 impl Router {
@@ -90,6 +95,7 @@
             reloaded: Notify::new(),
             guides: RefCell::new(None),
             settles,
+            keeper: RefCell::new(None),
         })
     }
 
@@ -140,8 +146,11 @@
     }
 
     /// An event of the coordinator that follows what is known.
-    pub fn told(&self, event: Event) {
+    pub fn told(&self, mark: Mark, event: Event) {
         self.keep_told(&event);
+        if let Some(keeper) = &*self.keeper.borrow() {
+            keeper.event(mark, &event);
+        }
         self.apply(event);
     }
 
@@ -163,7 +172,7 @@
                 word = feed.next() => {
                     match word {
                         Word::Alive => {}
-                        Word::Event(_, _, event) => self.told(event),
+                        Word::Event(mark, _, event) => self.told(mark, event),
                         Word::Anew(mark, event, doubt) => self.told_anew(mark, event, doubt),
                     }
                     if feed.is_current() {
@@ -172,7 +181,9 @@
                 }
                 () = self.reloaded.notified() => {
                     let Some((later, known)) = self.later.take() else { continue };
-                    feed.go_on_at(later, known).into_iter().for_each(|event| self.told(event));
+                    let news = feed.go_on_at(later, known);
+                    let mark = feed.numbering().borrow().last();
+                    news.into_iter().for_each(|event| self.told(mark, event));
                 }
             }
         }
--- a/crates/flaxdeck-emulator/src/fleet.rs
+++ b/crates/flaxdeck-emulator/src/fleet.rs
@@ -27,6 +27,8 @@
     /// It stands still with its sockets open, until it is let go on.
     FreezeForwarder(usize),
     ThawForwarder(usize),
+    /// What a forwarder keeps is gone.
+    LoseState(usize),
     /// All processes that start from now on have a wall clock so many milliseconds ahead.
     ClocksApart(i64),
     /// The wire between a forwarder and a planner.
@@ -72,13 +74,17 @@
     pub shown: bool,
     /// A program that starts again finds the configuration of its first start, not one that tells what came since.
     pub first_file: bool,
+    /// Forwarders keep state, each in a folder of its own, from their second start on: then their addresses are known,
+    /// which the state bears as its name.
+    pub state: bool,
 }
 
 impl Setup {
     /// Guided forwarders and planners, with the defaults of the plan file.
     pub fn of(binary: PathBuf, planners: usize, forwarders: usize) -> Setup {
-        let (reserve, guided, blind) = (0.0, planners > 0, "");
-        Setup { binary, planners, forwarders, reserve, guided, blind, shown: false, first_file: false }
+        let (reserve, guided, blind, shown) = (0.0, planners > 0, "", false);
+        let (first_file, state) = (false, false);
+        Setup { binary, planners, forwarders, reserve, guided, blind, shown, first_file, state }
     }
 }
 
@@ -135,13 +141,18 @@
         Ok(fleet)
     }
 
-    fn plan(&self, addresses: &[SocketAddr], port: impl Fn(usize) -> u16) -> String {
+    /// Where a forwarder keeps its state, for tests that spoil it.
+    pub fn state(&self, forwarder: usize) -> PathBuf {
+        self.folder.join(format!("state{forwarder}"))
+    }
+
+    fn plan(&self, addresses: &[SocketAddr], port: impl Fn(usize) -> u16, state: &str) -> String {
         let planner = |(at, address): (usize, &SocketAddr)| {
             format!("(planner (name p{at}) (listen \"{}:{}\"))", address.ip(), port(at))
         };
         let planners: Vec<String> = addresses.iter().enumerate().map(planner).collect();
         format!(
-            "(plan (key-file \"fleet.key\") (planners {}) (shares (reserve {})) (reports (every-ms 100)) {})",
+            "(plan (key-file \"fleet.key\") (planners {}) (shares (reserve {})) (reports (every-ms 100)) {} {state})",
             planners.join(" "),
             self.setup.reserve,
             self.setup.blind
@@ -158,7 +169,7 @@
     fn start_planner(&mut self, at: usize) -> Result<(), String> {
         // Its own port is chosen at the first start and kept; the others' do not matter to it.
         let own = self.planner_addresses[at].port();
-        let plan = self.plan(&self.planner_addresses, |other| if other == at { own } else { 0 });
+        let plan = self.plan(&self.planner_addresses, |other| if other == at { own } else { 0 }, "");
         let plan_path = self.folder.join(format!("planner{at}.plan"));
         write(&plan_path, &plan)?;
         let config_path = self.folder.join(format!("planner{at}.json"));
@@ -176,7 +187,9 @@
 
     fn start_forwarder(&mut self, at: usize) -> Result<(), String> {
         let addresses: Vec<SocketAddr> = self.planner_wires[at].iter().map(|wire| wire.address).collect();
-        let plan = self.plan(&addresses, |planner| addresses[planner].port());
+        let state = format!("(state (folder \"state{at}\"))");
+        let state = if self.setup.state && self.forwarders[at].is_some() { &*state } else { "" };
+        let plan = self.plan(&addresses, |planner| addresses[planner].port(), state);
         let plan_path = self.folder.join(format!("forwarder{at}.plan"));
         write(&plan_path, &plan)?;
         let config_path = self.folder.join(format!("forwarder{at}.json"));
@@ -281,6 +294,7 @@
             Fault::ThawForwarder(at) => {
                 self.forwarders[*at].iter().for_each(|f| Fleet::signal(&f.child, "CONT"))
             }
+            Fault::LoseState(at) => drop(std::fs::remove_dir_all(self.state(*at))), // there may be none
             Fault::ClocksApart(ms) => self.clocks_apart = *ms,
             Fault::PlannerWire(forwarder, planner, wire) => {
                 self.planner_wires[*forwarder][*planner].set(*wire)
--- a/crates/flaxdeck-guidance/src/forwarder.rs
+++ b/crates/flaxdeck-guidance/src/forwarder.rs
@@ -120,6 +120,25 @@
         self.known.get_mut(planner.0 as usize).into_iter().for_each(Known::met);
     }
 
+    /// What was lent before this start is known: the own shares are its own after so long.
+    pub fn owns_after(&mut self, now: Time, waits: Span) {
+        self.shares.owns_after(now, waits);
+    }
+
+    /// Nothing is lent without leave from now on, which must be kept before it is given.
+    pub fn needs_leave(&mut self, now: Time) {
+        self.shares.needs_leave(now);
+    }
+
+    /// Up to when leave to lend is wanted.
+    pub fn asks_leave(&mut self, now: Time) -> Option<Time> {
+        self.shares.asks_leave(now)
+    }
+
+    pub fn has_leave(&mut self, until: Time) {
+        self.shares.has_leave(until);
+    }
+
     /// The coordinator itself has spoken, and all is known here that it had to tell.
     pub fn coordinator_heard(&mut self, now: Time) {
         self.coordinator = Some(now);
--- a/crates/flaxdeck-guidance/src/shares.rs
+++ b/crates/flaxdeck-guidance/src/shares.rs
@@ -76,11 +76,20 @@
     /// Lives that others want some of, until when that counts.
     wanted: BTreeMap<Life, Time>,
     stood: Option<Time>,
+    /// Up to when it may promise to lend, where that has to be kept first; none where it need not.
+    leave: Option<Time>,
+    /// It would have lent more with a longer leave.
+    lacks_leave: bool,
 }
 
+/// How much further than the next loan a leave reaches: some reports and a slow disk.
+const LEAVE: Span = Span::from_ms(2_000);
+
 impl Shares {
     pub fn new(now: Time, pledges: Pledges) -> Shares {
         Shares {
+            leave: None,
+            lacks_leave: false,
             pledges,
             owns_from: now + pledges.forwarder_waits(),
             purses: BTreeMap::new(),
@@ -129,6 +138,8 @@
     /// is lent is no longer used from this moment on, whether the message arrives or not.
     pub fn trade(&mut self, now: Time, planner: Epoch, in_charge: impl Fn(&Life) -> bool) -> Vec<Trade> {
         let (owns, until) = (self.owns(now), now + self.pledges.lent);
+        let allowed = self.leave.is_none_or(|leave| leave >= until);
+        let mut lacks_leave = false;
         let mut trades = Vec::new();
         for (life, purse) in self.purses.iter_mut().filter(|(life, _)| in_charge(life)) {
             if trades.len() >= LIVES_MOST {
@@ -149,6 +160,8 @@
             let lends = if owns { purse.right.less(others).less(keeps) } else { Parts::NONE };
             let wanted = self.wanted.get(life).is_some_and(|until| *until > now);
             let lends = if lends < LEAST || !wanted { Parts::NONE } else { lends };
+            lacks_leave |= lends > Parts::NONE && !allowed;
+            let lends = if allowed { lends } else { Parts::NONE };
             let wishes = Parts(purse.recent.0.less(own).0.min(Parts::WHOLE.0));
             let wishes = if lends > Parts::NONE || wishes < LEAST { Parts::NONE } else { wishes };
             if lends > Parts::NONE {
@@ -158,6 +171,7 @@
             // One with neither still tells what is in hand.
             trades.push(Trade { life: life.clone(), lends, wishes, in_hand: purse.in_hand });
         }
+        self.lacks_leave |= lacks_leave;
         trades
     }
 
@@ -175,6 +189,30 @@
         true
     }
 
+    /// Its own shares are its own after so long: what was lent before is known.
+    pub fn owns_after(&mut self, now: Time, waits: Span) {
+        self.owns_from = now + waits;
+    }
+
+    /// From now on nothing is lent without leave: what is lent must be known to the next run.
+    pub fn needs_leave(&mut self, now: Time) {
+        self.leave = Some(now);
+    }
+
+    /// Up to when leave to lend is wanted now; none if there is enough, or none is needed.
+    pub fn asks_leave(&mut self, now: Time) -> Option<Time> {
+        let leave = self.leave?;
+        let lends = self.purses.values().any(|purse| !purse.lent.is_empty());
+        let short = leave < now + self.pledges.lent + LEAVE * 0.5;
+        let asks = std::mem::take(&mut self.lacks_leave) || (lends && short);
+        asks.then(|| now + self.pledges.lent + LEAVE)
+    }
+
+    /// Leave is there, for certain, up to that time.
+    pub fn has_leave(&mut self, until: Time) {
+        self.leave = self.leave.map(|leave| leave.max(until));
+    }
+
     /// From when on its own shares are its own.
     pub fn owns_from(&self) -> Time {
         self.owns_from
--- a/crates/flaxdeck-net/src/clock.rs
+++ b/crates/flaxdeck-net/src/clock.rs
@@ -36,6 +36,17 @@
     }
 }
 
+/// The machine's own count since it booted, in milliseconds, with a number of that boot: what no setting of a clock
+/// moves. Zeros where the system does not tell.
+pub fn since_boot() -> (u64, u64) {
+    let text = |path| std::fs::read_to_string(path).unwrap_or_default();
+    let digits: String =
+        text("/proc/sys/kernel/random/boot_id").chars().filter(char::is_ascii_hexdigit).collect();
+    let boot = digits.get(..16).and_then(|digits| u64::from_str_radix(digits, 16).ok()).unwrap_or(0);
+    let seconds = text("/proc/uptime").split_whitespace().next().and_then(|word| word.parse::<f64>().ok());
+    seconds.map_or((0, 0), |seconds| (boot, (seconds * 1000.0) as u64))
+}
+
 pub fn length(span: Span) -> Duration {
     Duration::from_secs_f64(span.ms() / 1000.0)
 }
--- a/crates/flaxdeck-plan/src/lib.rs
+++ b/crates/flaxdeck-plan/src/lib.rs
@@ -45,6 +45,8 @@
     pub report_every_ms: u32,
     pub blind: Blind,
     pub log_form: LogForm,
+    /// The folder in which a forwarder keeps its state; relative to the plan's own place. None keeps nothing.
+    pub state_folder: Option<String>,
     /// In the words of `tracing`: `info` or `info,flaxdeck_dispatcher=debug`.
     pub log_levels: String,
 }
@@ -52,7 +54,7 @@
 /// How many planners one file may name: each forwarder reports to all of them.
 pub const PLANNERS_MOST: usize = 8;
 
-const TOP: &[&str] = &["key-file", "planners", "shares", "reports", "blind", "log"];
+const TOP: &[&str] = &["key-file", "planners", "shares", "reports", "blind", "state", "log"];
 
 /// Reads a file's text; `file` is the name that faults bear.
 pub fn read(file: &str, text: &str) -> Result<Plan, Vec<Fault>> {
@@ -71,6 +73,7 @@
         seated: true,
         report_every_ms: 200,
         blind: Blind::BounceAfter { ms: 2_500.0 },
+        state_folder: None,
         log_form: LogForm::Text,
         log_levels: "info".into(),
     };
@@ -129,6 +132,21 @@
     if let Some(form) = only(&mut forms, "blind", faults) {
         blind(&form, plan, faults);
     }
+    if let Some(form) = only(&mut forms, "state", faults) {
+        let folder = only(&mut form.forms(&["folder"], faults), "folder", faults);
+        match folder {
+            Some(folder) => plan.state_folder = folder.text(faults).map(|(text, _)| text),
+            None => {
+                let why = "state needs a place that outlasts the process";
+                faults.add(
+                    form.place,
+                    "folder is missing".into(),
+                    why,
+                    "add (folder \"state\"), or take state out",
+                );
+            }
+        }
+    }
     if let Some(form) = only(&mut forms, "log", faults) {
         let mut inner = form.forms(&["format", "levels"], faults);
         let format =
@@ -238,6 +256,8 @@
             (" (reports @(every-ms 900)))", "must outlast three reports"),
             (" (blind (after-ms @100)))", "from 300 to 60000"),
             (" (blind @(after-ms 3000) (then go-on)))", "take after-ms out"),
+            (" @(state))", "folder is missing"),
+            (" (state (folder @here)))", "put it in double quotes"),
             (" (log (format @xml)))", "one of: text json"),
             (" (log @json))", "json stands alone"),
             (" (log (levels @info)))", "put it in double quotes"),
--- /dev/null
+++ b/crates/flaxdeck-recovery/src/belief.rs
@@ -0,0 +1,352 @@
+//! What of stored state may be believed, item by item. Facts decide: the host's start, the coordinator's numbering, the
+//! instance's own name. Age decides only where a clock can vouch for it, which is the machine's count since it booted
+//! and no wall clock: that may have been set either way in between.
+
+use std::collections::BTreeMap;
+
+use flaxdeck::words::Span;
+use serde::{Deserialize, Serialize};
+
+use crate::numbering::Mark;
+
+/// Measures of a source older than this are not taken over: its own trials know better by then.
+const MEASURES_LAST: Span = Span::from_ms(60_000);
+/// Who failed or answered longer ago than this may be otherwise by now.
+const CONTACTS_LAST: Span = Span::from_ms(10_000);
+
+/// A moment by the machine's own count since it booted; the same boot has the same number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Uptime {
+    pub boot: u64,
+    pub ms: u64,
+}
+
+impl Uptime {
+    /// How long ago that was; none if nothing can vouch for it.
+    pub fn since(self, earlier: Uptime) -> Option<Span> {
+        (self.boot != 0 && self.boot == earlier.boot && self.ms >= earlier.ms)
+            .then(|| Span::from_ms(self.ms - earlier.ms))
+    }
+}
+
+/// A host's line as it is kept.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptLine {
+    pub host: String,
+    pub address: std::net::SocketAddr,
+    pub weight: f64,
+    pub zone: Option<u32>,
+    pub cell: u64,
+    pub role: u8,
+    pub standing: u8,
+    /// Milliseconds of Unix time; zero for long past.
+    pub started: u64,
+}
+
+/// What was seen of a host here.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct KeptRating {
+    pub host: String,
+    pub started: u64,
+    pub measures: [Option<f64>; 2],
+    /// How long before it was written each was true, in milliseconds.
+    pub measured_ago: Option<u64>,
+    pub good_ago: Option<u64>,
+    pub bad_ago: Option<u64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KeptPurge {
+    pub object: Option<u64>,
+    pub group: u64,
+    /// Milliseconds of Unix time, by the coordinator.
+    pub made: u64,
+}
+
+/// All that an instance keeps.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Kept {
+    pub written: Uptime,
+    pub event: Mark,
+    pub lines: Vec<KeptLine>,
+    pub purges: Vec<KeptPurge>,
+    pub ratings: Vec<KeptRating>,
+    /// Nothing that was lent is out after that; none if nothing ever was.
+    pub lent_until: Option<Uptime>,
+}
+
+/// One thing more, after a whole state.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Later {
+    Lines(Mark, Vec<KeptLine>),
+    /// In place of all lines before.
+    Whole(Mark, Vec<KeptLine>),
+    Purged(Mark, KeptPurge),
+    /// Leave to lend until then.
+    LendsUntil(Uptime),
+}
+
+/// Purges kept at most; older ones hosts have long dropped by themselves.
+const PURGES_MOST: usize = 1_024;
+
+/// Bytes that are no state of this version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Unreadable;
+
+fn whole<T: serde::de::DeserializeOwned>(bytes: &[u8]) -> Result<T, Unreadable> {
+    let (value, rest) = postcard::take_from_bytes(bytes).map_err(|_| Unreadable)?;
+    if rest.is_empty() { Ok(value) } else { Err(Unreadable) }
+}
+
+/// The bytes of a whole state, or of one thing more.
+pub fn bytes(state: &impl Serialize) -> Vec<u8> {
+    postcard::to_stdvec(state).unwrap_or_default() // into memory: never fails
+}
+
+impl Kept {
+    /// A whole state and what came after it, as a store gives them back.
+    pub fn read(snapshot: &[u8], records: &[Vec<u8>]) -> Result<Kept, Unreadable> {
+        let mut kept: Kept = whole(snapshot)?;
+        for record in records {
+            kept.add(whole(record)?);
+        }
+        Ok(kept)
+    }
+
+    pub fn add(&mut self, later: Later) {
+        match later {
+            Later::Lines(mark, lines) => {
+                self.event = mark;
+                let mut all: BTreeMap<String, KeptLine> = std::mem::take(&mut self.lines)
+                    .into_iter()
+                    .map(|line| (line.host.clone(), line))
+                    .collect();
+                all.extend(lines.into_iter().map(|line| (line.host.clone(), line)));
+                self.lines = all.into_values().collect();
+            }
+            Later::Whole(mark, lines) => (self.event, self.lines) = (mark, lines),
+            Later::Purged(mark, purge) => {
+                self.event = mark;
+                self.purges.push(purge);
+                let past = self.purges.len().saturating_sub(PURGES_MOST);
+                self.purges.drain(..past);
+            }
+            Later::LendsUntil(until) => self.lent_until = Some(until),
+        }
+    }
+}
+
+/// What is believed of one item, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    pub item: &'static str,
+    pub believed: bool,
+    pub why: String,
+}
+
+/// What an instance may count on from the start.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Believed {
+    /// To be proven by the next link to the coordinator.
+    pub event: Option<Mark>,
+    pub lines: Vec<KeptLine>,
+    pub purges: Vec<KeptPurge>,
+    /// Ratings with ages as of now.
+    pub ratings: Vec<KeptRating>,
+    /// How long the own shares of cold hosts are left alone, if that is known.
+    pub waits: Option<Span>,
+    pub verdicts: Vec<Verdict>,
+}
+
+/// The facts that stored state is held against.
+#[derive(Clone, Copy, Debug)]
+pub struct Now {
+    pub uptime: Uptime,
+    /// The last event of the configuration that the instance starts with.
+    pub file: Mark,
+    /// How long its own shares would be left alone if nothing was known.
+    pub waits: Span,
+}
+
+/// Goes through what was kept, in the order in which one thing rests on the other.
+pub fn judge(kept: Kept, now: Now) -> Believed {
+    let mut believed = Believed::default();
+    let age = now.uptime.since(kept.written);
+    let told = |span: Span| format!("{:.1} s", span.ms() / 1000.0);
+    let mut say = |item, yes: bool, why: String| believed.verdicts.push(Verdict { item, believed: yes, why });
+    match age {
+        Some(age) => say("age", true, format!("written {} ago by the machine's own count", told(age))),
+        None => {
+            say("age", false, "the machine has booted since, and a wall clock vouches for nothing".into())
+        }
+    }
+    // A number is only a claim: the coordinator has to prove it, so a wrong one costs a whole list and no more.
+    let newer = kept.event.number >= now.file.number && kept.event != Mark::NONE;
+    let event = kept.event.number;
+    if newer {
+        say("event", true, format!("{event}, to be proven by the coordinator's next word"));
+        say(
+            "hosts",
+            true,
+            format!("{} lines as of that event, not vouched for until then", kept.lines.len()),
+        );
+        (believed.event, believed.lines) = (Some(kept.event), kept.lines);
+    } else {
+        say("event", false, format!("{event}, and the configuration has {}", now.file.number));
+        say("hosts", false, "the configuration's list is of a later event".into());
+    }
+    // One believed in vain costs a fill; one forgotten hands out what was purged.
+    say("purges", true, format!("{}: they only limit the age of copies", kept.purges.len()));
+    believed.purges = kept.purges;
+    let starts: BTreeMap<&str, u64> = believed.lines.iter().map(|line| (&*line.host, line.started)).collect();
+    let rating = |rating: KeptRating| {
+        let passed = age?.ms() as u64;
+        let within = |ago: Option<u64>, most: Span| {
+            ago.map(|ago| ago + passed).filter(|ago| Span::from_ms(*ago) <= most)
+        };
+        let same = starts.get(&*rating.host) == Some(&rating.started);
+        let measured_ago = within(rating.measured_ago, MEASURES_LAST);
+        let (good_ago, bad_ago) =
+            (within(rating.good_ago, CONTACTS_LAST), within(rating.bad_ago, CONTACTS_LAST));
+        let measures = if measured_ago.is_some() { rating.measures } else { [None; 2] };
+        let some = measured_ago.is_some() || good_ago.is_some() || bad_ago.is_some();
+        (same && some).then_some(KeptRating { measures, measured_ago, good_ago, bad_ago, ..rating })
+    };
+    let count = kept.ratings.len();
+    let ratings: Vec<KeptRating> = kept.ratings.into_iter().filter_map(rating).collect();
+    let why = "of the same start and young enough; a first failed contact outweighs them";
+    say("ratings", !ratings.is_empty(), format!("{} of {count} are {why}", ratings.len()));
+    believed.ratings = ratings;
+    // What was lent is told to be so before it is, so nothing can be out that is not kept.
+    let left = kept.lent_until.map_or(Some(Span::ZERO), |until| {
+        (until.boot == now.uptime.boot).then(|| Span::from_ms(until.ms.saturating_sub(now.uptime.ms)))
+    });
+    let waits = left.filter(|_| age.is_some()).map(|left| if left < now.waits { left } else { now.waits });
+    match waits {
+        Some(waits) => say("shares", true, format!("nothing that was lent is out after {}", told(waits))),
+        None => say("shares", false, format!("left alone for {}, as if all had been lent", told(now.waits))),
+    }
+    believed.waits = waits;
+    believed
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const NOW: Now = Now {
+        uptime: Uptime { boot: 7, ms: 100_000 },
+        file: Mark { number: 1, hash: 1 },
+        waits: Span::from_ms(5_000),
+    };
+
+    fn line(host: &str, started: u64) -> KeptLine {
+        let address = "127.0.0.1:1".parse().unwrap();
+        KeptLine {
+            host: host.into(),
+            address,
+            weight: 1.0,
+            zone: None,
+            cell: 0,
+            role: 0,
+            standing: 0,
+            started,
+        }
+    }
+
+    fn rating(host: &str, started: u64) -> KeptRating {
+        let (measured_ago, good_ago, bad_ago) = (Some(1_000), Some(1_000), None);
+        KeptRating {
+            host: host.into(),
+            started,
+            measures: [Some(3.0), None],
+            measured_ago,
+            good_ago,
+            bad_ago,
+        }
+    }
+
+    fn kept(ago: u64) -> Kept {
+        Kept {
+            written: Uptime { boot: 7, ms: 100_000 - ago },
+            event: Mark { number: 9, hash: 5 },
+            lines: vec![line("a", 0), line("b", 500)],
+            purges: vec![KeptPurge { object: Some(1), group: 0, made: 1 }],
+            ratings: vec![rating("a", 0), rating("b", 400), rating("gone", 0)],
+            lent_until: None,
+        }
+    }
+
+    fn hosts(believed: &Believed) -> Vec<&str> {
+        believed.ratings.iter().map(|rating| &*rating.host).collect()
+    }
+
+    #[test]
+    fn what_was_seen_of_a_host_counts_for_that_start_of_it_alone() {
+        let believed = judge(kept(2_000), NOW);
+        assert_eq!(hosts(&believed), ["a"], "b has restarted, one is listed no more");
+        assert_eq!(believed.ratings[0].good_ago, Some(3_000));
+        assert_eq!(believed.event, Some(Mark { number: 9, hash: 5 }));
+    }
+
+    #[test]
+    fn what_is_old_is_worth_what_a_stranger_is() {
+        let believed = judge(kept(30_000), NOW);
+        assert_eq!((believed.ratings[0].good_ago, believed.ratings[0].measured_ago), (None, Some(31_000)));
+        assert_eq!(judge(kept(90_000), NOW).ratings, []);
+    }
+
+    #[test]
+    fn after_a_boot_no_clock_vouches_for_any_age() {
+        let now = Now { uptime: Uptime { boot: 8, ms: 100_000 }, ..NOW };
+        let believed = judge(Kept { lent_until: Some(Uptime { boot: 7, ms: 1 }), ..kept(10) }, now);
+        assert_eq!((believed.ratings.len(), believed.waits), (0, None));
+        assert_eq!((believed.lines.len(), believed.purges.len()), (2, 1), "facts need no clock");
+        // Nor where none can be read.
+        let now = Now { uptime: Uptime::default(), ..NOW };
+        assert_eq!(judge(Kept { written: Uptime::default(), ..kept(10) }, now).waits, None);
+    }
+
+    #[test]
+    fn shares_are_left_alone_for_what_may_be_out_and_never_for_longer_than_without_a_store() {
+        let waits = |ms| judge(Kept { lent_until: ms, ..kept(100) }, NOW).waits;
+        let at = |ms| Some(Uptime { boot: 7, ms });
+        assert_eq!(waits(None), Some(Span::ZERO));
+        assert_eq!(waits(at(99_000)), Some(Span::ZERO));
+        assert_eq!(waits(at(102_000)), Some(Span::from_ms(2_000)));
+        assert_eq!(waits(at(900_000)), Some(Span::from_ms(5_000)));
+        assert_eq!(waits(Some(Uptime { boot: 6, ms: 1 })), None);
+    }
+
+    #[test]
+    fn a_configuration_of_a_later_event_outweighs_the_store() {
+        let now = Now { file: Mark { number: 10, hash: 2 }, ..NOW };
+        let believed = judge(kept(100), now);
+        assert_eq!((believed.event, believed.lines.len(), believed.purges.len()), (None, 0, 1));
+        assert!(believed.verdicts.iter().any(|verdict| verdict.item == "hosts" && !verdict.believed));
+    }
+
+    #[test]
+    fn what_was_written_is_read_and_other_bytes_are_not() {
+        let (all, later) = (kept(3), Later::LendsUntil(Uptime { boot: 7, ms: 9 }));
+        let read = Kept::read(&bytes(&all), &[bytes(&later)]).unwrap();
+        assert_eq!(read, Kept { lent_until: Some(Uptime { boot: 7, ms: 9 }), ..all.clone() });
+        assert!(Kept::read(&bytes(&all), &[vec![9, 9, 9]]).is_err());
+        assert!(Kept::read(&[bytes(&all), vec![0]].concat(), &[]).is_err());
+    }
+
+    #[test]
+    fn what_came_later_is_added_in_its_order() {
+        let mut all = kept(0);
+        let mark = |number| Mark { number, hash: 1 };
+        all.add(Later::Lines(mark(10), vec![KeptLine { standing: 1, ..line("a", 0) }, line("c", 0)]));
+        all.add(Later::Purged(mark(11), KeptPurge { object: None, group: 3, made: 2 }));
+        assert_eq!(
+            (all.event, all.lines.len(), all.lines[0].standing, all.purges.len()),
+            (mark(11), 3, 1, 2)
+        );
+        all.add(Later::Whole(mark(1), vec![line("d", 0)]));
+        all.add(Later::LendsUntil(Uptime { boot: 7, ms: 9 }));
+        assert_eq!((all.event, all.lines.len(), all.lent_until.map(|at| at.ms)), (mark(1), 1, Some(9)));
+    }
+}
--- a/crates/flaxdeck-recovery/src/numbering.rs
+++ b/crates/flaxdeck-recovery/src/numbering.rs
@@ -105,6 +105,11 @@
         Numbering { trusts: true, ..Numbering::new(last) }
     }
 
+    /// What was kept goes further than what the instance was started with; it has to be proven like that.
+    pub fn begin_at(&mut self, last: Mark) {
+        *self = Numbering { trusts: self.trusts, ..Numbering::new(last) };
+    }
+
     pub fn last(&self) -> Mark {
         self.last
     }
--- /dev/null
+++ b/crates/flaxdeck-store/src/lib.rs
@@ -0,0 +1,19 @@
+//! Durable state of one instance: a snapshot and a short log after it, bound to the instance's name and to a generation
+//! that grows with each start. What is in them is bytes to this package.
+//!
+//! ```text
+//! snapshot  4 "flxs"  1 version  8 generation  1 length of the name  n name  4 length of the body  n body  16 hash of all before
+//! log       4 "flxl"  1 version  8 generation  16 hash of the snapshot that it follows  16 hash of all before
+//! record    4 length of the body  n body  16 hash of the hash before it and of the body
+//! ```
+//!
+//! Every record's hash covers the one before, so a log can be read up to its first damage and not past it. A snapshot is
+//! written beside, synced, renamed, and the folder synced; only then a new log is begun the same way. A crash in
+//! between leaves a log that follows another snapshot: what it holds is in the new one, or the new one never came to be.
+
+pub mod disk;
+pub mod faulty;
+mod store;
+
+pub use disk::{Disk, Folder};
+pub use store::{Broken, Damage, Found, Store, look};
--- a/crates/flaxdeck-wire/src/frames.rs
+++ b/crates/flaxdeck-wire/src/frames.rs
@@ -17,7 +17,7 @@
 const FIXED: usize = 9;
 
 /// What a numbered event tells.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub enum Event {
     Hosts(Coverage, Vec<Station>),
     Purged { object: Option<ObjectId>, group: GroupId, made: Time },
