Newcomers learn from planners what their seat has lent, and leave the coordinator to them

A forwarder without a store left its shares alone for a loan's time though planners could tell that nothing was lent. A model of the numbering under a coordinator that forgets, with a second instance that passes events on, found a history that is no more passed on to one whose own link had proven the shorter one.

Change: a first call to the coordinator waits 150 to 450 ms beside planners, and is at once where none can be reached; calls are rare while a planner vouches. A report goes out as soon as a planner is reached. Planners remember by seat (a hash of the address) what was lent, refuse late reports of ended runs, and tell when nothing is out. The address is claimed before anything is said. What others bring and a proven link does not within 500 ms is asked for again; nothing is taken from others for 2.5 s after another numbering was adopted. An unchanged copy is believed only by the tag that the host names.

--- a/crates/flaxdeck-cli/src/main.rs
+++ b/crates/flaxdeck-cli/src/main.rs
@@ -17,6 +17,7 @@
 use flaxdeck_dispatcher::{Guidelines, Keeps};
 use flaxdeck_guidance::Parts;
 use flaxdeck_guidance::forwarder::Stance;
+use flaxdeck_guidance::messages::SeatId;
 use flaxdeck_lab::Limits;
 use flaxdeck_net::clock;
 use flaxdeck_plan::{Blind, LogForm, Plan};
@@ -215,12 +216,17 @@
     }
 }
 
-fn stance(plan: &Plan, pledges: flaxdeck_guidance::Pledges) -> Stance {
+fn stance(plan: &Plan, pledges: flaxdeck_guidance::Pledges, listen: &str) -> Stance {
+    // Where the system chooses the port it is another at each start.
+    let hash = listen
+        .bytes()
+        .fold(0xcbf2_9ce4_8422_2325u64, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3));
+    let seat = SeatId(if listen.ends_with(":0") { 0 } else { hash.max(1) });
     let blind_after = match plan.blind {
         Blind::BounceAfter { ms } => Some(Span::of_ms(ms)),
         Blind::GoOn => None,
     };
-    Stance { pledges, reserve: plan.reserve, seated: plan.seated, blind_after }
+    Stance { pledges, reserve: plan.reserve, seated: plan.seated, seat, blind_after }
 }
 
 fn forward(files: &Files) -> Result<(), Stop> {
@@ -242,7 +248,7 @@
         keeps,
         planners: plan.planners.iter().map(|planner| planner.listen).collect(),
         key,
-        stance: stance(&plan, files::pledges(&plan, world.window)),
+        stance: stance(&plan, files::pledges(&plan, world.window), &world.listen()?),
         report_every: Duration::from_millis(u64::from(plan.report_every_ms)),
     };
     Ok(flaxdeck_dispatcher::run_guided(Some(&files.config), Some(guidelines))?)
--- a/crates/flaxdeck-cli/tests/coming_back.rs
+++ b/crates/flaxdeck-cli/tests/coming_back.rs
@@ -370,3 +370,28 @@
         fleet.lines()
     );
 }
+
+#[test]
+fn without_a_store_planners_that_stayed_up_tell_that_nothing_is_out() {
+    let mut fleet = fleet(setup(2, 3), Layout::default());
+    // A forwarder's second start is the first from an address of its own; planners have been up for longer than loans last.
+    restart_all(&mut fleet, 3, |_| {});
+    sleep(Duration::from_millis(4_500));
+    let (clients, _) = clients(&fleet, 30.0, 2_500.0);
+    let full = |lines: &[String]| -> Vec<f64> {
+        let told =
+            lines.iter().filter_map(|line| line.split("back in full after ").nth(1)?.split(' ').next());
+        told.map(|ms| ms.parse().unwrap()).collect()
+    };
+    let took = full(&restart_all(&mut fleet, 3, |_| {}));
+    assert!(took.len() == 3 && took.iter().all(|ms| *ms < 500.0), "{took:?}");
+    // With planners that have just started nobody can tell.
+    let lines = restart_all(&mut fleet, 3, |fleet| {
+        for planner in 0..2 {
+            fleet.cause(&Fault::KillPlanner(planner)).unwrap();
+            fleet.cause(&Fault::StartPlanner(planner)).unwrap();
+        }
+    });
+    assert_eq!(full(&lines), Vec::<f64>::new());
+    kept(&fleet, &clients);
+}
--- a/crates/flaxdeck-dispatcher/src/program/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/program/mod.rs
@@ -16,7 +16,7 @@
 use crate::routing::{Guidelines, Keeps, Router, accept, recall};
 use flaxdeck_guidance::messages::Epoch;
 use flaxdeck_net::clock::Clock;
-use flaxdeck_net::listener::Listener;
+use flaxdeck_net::listener::Claim;
 use flaxdeck_net::tally::{self, Count, count};
 use flaxdeck_talk::feed::{Event, Feed, Numbered};
 
@@ -56,14 +56,17 @@
     let signals = |kind| signal(kind).map_err(|error| format!("no signals: {error}"));
     let (mut asked_to_end, mut asked_to_reload) =
         (signals(SignalKind::terminate())?, signals(SignalKind::hangup())?);
-    let start::Start { address, feed, mut known, terms, names, carriage, bounds, seed, settings } =
+    let start::Start { address, mut feed, mut known, terms, names, carriage, bounds, seed, settings } =
         start::read(path, guidelines.is_none())?;
+    let refused = |error| format!("cannot listen at {address}: {error}");
+    // Taken before anything is said in its name: while an earlier run still listens there, this one is none.
+    let claim = Claim::take(address).map_err(refused)?;
     let router = Router::new(clock, seed, terms, names, carriage, bounds);
     // A guided forwarder keeps to what is its own from the first list on.
     if let Some(guidelines) = guidelines {
         let epoch = Epoch::new(clock.now(), std::process::id());
         let (keeps, waits) = (guidelines.keeps.clone(), guidelines.stance.pledges.forwarder_waits());
-        router.guide_by(epoch, seed, guidelines, feed.numbering());
+        router.guide_by(epoch, seed, guidelines, &mut feed);
         if let Some(keeps) = keeps {
             come_back(&router, &feed, clock, &keeps, &mut known, waits);
         }
@@ -78,8 +81,8 @@
         () = router.comes_back() => {}
         _ = asked_to_end.recv() => return Ok(()),
     }
-    let listener = Listener::open(address).map_err(|error| format!("cannot listen at {address}: {error}"))?;
-    let at = listener.address().map_err(|error| format!("cannot listen at {address}: {error}"))?;
+    let listener = claim.listen().map_err(refused)?;
+    let at = listener.address().map_err(refused)?;
     spawn_local(router.clone().sweep());
     spawn_local(log_counters(router.clone()));
     spawn_local(accept(router.clone(), listener));
@@ -115,7 +118,7 @@
 ) {
     let mut recalled = recall(keeps, clock, feed.numbering().borrow().last(), waits);
     if let Some(event) = recalled.event {
-        feed.numbering().borrow_mut().begin_at(event);
+        feed.numbering().borrow_mut().begin_at(clock.now(), event);
         known.clear();
     }
     let last = feed.numbering().borrow().last();
--- a/crates/flaxdeck-dispatcher/src/routing/guides.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/guides.rs
@@ -2,7 +2,7 @@
 //! waits for any of it. What is believed, lent and borrowed is decided in `flaxdeck-guidance`.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +17,7 @@
 use flaxdeck_recovery::numbering::{Doubt, Numbering};
 use flaxdeck_recovery::phase::{Return, Unheard};
 use flaxdeck_recovery::{Mark, Pace, doubt};
-use flaxdeck_talk::feed::Event;
+use flaxdeck_talk::feed::{Event, Feed, Urgency};
 use flaxdeck_talk::line::{self, Hearer, Over, Speaker};
 use flaxdeck_talk::seal::Key;
 use flaxdeck_wire::frames;
@@ -55,20 +55,19 @@
     doubted: RefCell<doubt::Doubted>,
     back: RefCell<Return>,
     seed: u64,
+    urgency: Rc<Urgency>,
+    /// Planners whose last try came to nothing.
+    unreached: RefCell<BTreeSet<usize>>,
     informed: Cell<Informed>,
     due_changed: Notify,
     vouched: Notify,
+    report_now: Notify,
 }
 
 impl Router {
     /// Has the router guided from now on.
-    pub fn guide_by(
-        self: &Rc<Router>,
-        epoch: Epoch,
-        seed: u64,
-        guidelines: Guidelines,
-        numbering: Rc<RefCell<Numbering>>,
-    ) {
+    pub fn guide_by(self: &Rc<Router>, epoch: Epoch, seed: u64, guidelines: Guidelines, feed: &mut Feed) {
+        let (numbering, urgency) = (feed.numbering(), feed.urgency(!guidelines.planners.is_empty()));
         let (count, now) = (guidelines.planners.len(), self.clock.now());
         let guide = Guide::start(now, epoch, guidelines.stance, count as u32);
         let unheard = guidelines.stance.blind_after.map_or(Unheard::GoOn, Unheard::BounceAfter);
@@ -81,9 +80,12 @@
             doubted: RefCell::default(),
             back: RefCell::new(Return::begin(now, unheard)),
             seed,
+            urgency,
+            unreached: RefCell::default(),
             informed: Cell::new(Informed::Alone),
             due_changed: Notify::new(),
             vouched: Notify::new(),
+            report_now: Notify::new(),
         });
         *self.guides.borrow_mut() = Some(guides.clone());
         self.tell_brain(&guides);
@@ -234,6 +236,11 @@
         self.note_vouched(&guides);
     }
 
+    /// A coordinator that has little room is left to planners while they tell the same.
+    fn note_urgency(&self, guides: &Guides) {
+        guides.urgency.set_calm(guides.guide.borrow().planners_vouch(self.clock.now()));
+    }
+
     fn note_vouched(&self, guides: &Guides) {
         if guides.guide.borrow().vouched().is_some() {
             guides.back.borrow_mut().vouched(self.clock.now());
@@ -270,7 +277,11 @@
         let mut ticks = interval(guides.guidelines.report_every);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
-            ticks.tick().await;
+            // A planner that has just been reached need not wait for the next report.
+            tokio::select! {
+                _ = ticks.tick() => {}
+                () = guides.report_now.notified() => {}
+            }
             let now = self.clock.now();
             let sights = self.facade.borrow().sights(now);
             {
@@ -290,6 +301,11 @@
             }
             // What was lent is not used from this moment on.
             self.tell_brain(&guides);
+            self.note_urgency(&guides);
+            let owns_from = guides.guide.borrow().owns_from();
+            if let Some(took) = guides.back.borrow_mut().full(now, owns_from) {
+                log::info!("back in full after {:.0} ms", took.ms());
+            }
             let keeper = self.keeper.borrow().clone();
             if let Some(keeper) = keeper {
                 let leave = guides.guide.borrow_mut().asks_leave(now);
@@ -329,8 +345,10 @@
                 Ok((speaker, hearer)) => {
                     log::info!("planner {at} at {address} is connected");
                     pace.answered(self.clock.now());
+                    guides.unreached.borrow_mut().remove(&at);
                     guides.guide.borrow_mut().met(PlannerId(at as u32));
                     guides.speakers.borrow_mut()[at] = Some(speaker);
+                    guides.report_now.notify_one();
                     let over = self.hear_out(&guides, at, hearer).await;
                     guides.speakers.borrow_mut()[at] = None;
                     log::warn!("planner {at} at {address}: the conversation is over: {over:?}");
@@ -341,7 +359,12 @@
                 }
                 Err(Over::Broken(why)) => log::debug!("planner {at} at {address}: {why}"),
             }
-            sleep(clock::length(pace.pause(self.clock.now()))).await;
+            // With the last of them unreached there is nobody to ask but the coordinator.
+            let new = guides.unreached.borrow_mut().insert(at);
+            if new && guides.unreached.borrow().len() == guides.guidelines.planners.len() {
+                guides.urgency.hurry();
+            }
+            sleep(clock::length(pace.pause(self.clock.now(), false))).await;
         }
     }
 
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -160,7 +160,15 @@
     fn ended(&mut self, leg: Leg, outcome: Outcome, held: Option<Place>) {
         let Some(at) = self.out.iter().position(|out| out.leg == leg) else { return };
         let Out { host, sent, .. } = self.out.remove(at);
-        let Outcome { ending, body, unchanged, told, waited, link, in_hand } = outcome;
+        // Guards against a client that keeps an old copy: one that is not named by its own tag is no answer, and
+        // from then on the whole object is asked for.
+        let other = outcome.is_of_another_copy(&self.asked);
+        if other {
+            count(Count::unchanged_of_another);
+            self.asked = Rc::new(Asked { holds: None, ..(*self.asked).clone() });
+        }
+        let Outcome { ending, body, unchanged, named: _, told, waited, link, in_hand } = outcome;
+        let ending = if other { Ending::Errored } else { ending };
         log::debug!("pull {} leg {} at {}: {ending:?} {told:?} {link:?}", self.id.0, leg.0, host.0);
         if ending == Ending::Answered && self.reply.is_some() {
             self.answer(if unchanged { Answer::Unchanged } else { Answer::Finished(body) }, held);
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -183,7 +183,7 @@
 #[test]
 fn the_clients_own_copy_may_be_the_one() {
     let world = World::start(1);
-    world.caches[0].set(Manner::Say("unchanged"));
+    world.caches[0].set(Manner::Unchanged("4be0c1927d55a6f3"));
     let fields = [("id", "9b1f03aa5c7e2d41"), ("wait", "2500"), ("key", KEY), ("seen", "4be0c1927d55a6f3")];
     let mut client = world.client();
     client.send(&pull_message(1, "page", &fields, b"")).unwrap();
@@ -192,6 +192,26 @@
     assert!(world.caches[0].heard("want")[0].0.contains("holds=4be0c1927d55a6f3"));
 }
 
+// A host that names another copy, none, or what no tag looks like: the client gets the whole object, not its old copy.
+#[test]
+fn a_copy_that_the_host_does_not_name_is_not_the_clients() {
+    for named in ["4be0c1927d55a6f4", "", "%%", "4be0c1927d55a6f3x"] {
+        let world = World::start(1);
+        world.caches.iter().for_each(|cache| cache.set(Manner::Unchanged(named)));
+        let fields =
+            [("id", "9b1f03aa5c7e2d41"), ("wait", "2500"), ("key", KEY), ("seen", "4be0c1927d55a6f3")];
+        let mut client = world.client();
+        client.send(&pull_message(1, "page", &fields, b"")).unwrap();
+        assert!(finished(&client.answer().unwrap(), KEY), "{named}");
+        let heard: Vec<String> =
+            world.caches.iter().flat_map(|cache| cache.heard("want")).map(|(line, _)| line).collect();
+        assert!(
+            heard.len() == 2 && heard.iter().filter(|line| line.contains("holds=")).count() == 1,
+            "{heard:?}"
+        );
+    }
+}
+
 // What is known of how a hand-off ended decides whether an at-most-once pull may be sent again or bounced.
 #[test]
 fn an_at_most_once_pull_is_sent_again_or_bounced_only_if_nothing_ran() {
--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -6,7 +6,7 @@
 use flaxdeck::words::*;
 use flaxdeck_guidance::forwarder::{Guide, Stance};
 use flaxdeck_guidance::membership::PlannerId;
-use flaxdeck_guidance::messages::{Epoch, Guidance, Relayed, Report};
+use flaxdeck_guidance::messages::{Epoch, Guidance, Relayed, Report, SeatId};
 use flaxdeck_guidance::planner::Planner;
 use flaxdeck_guidance::{Parts, Pledges};
 use flaxdeck_recovery::Mark;
@@ -415,7 +415,8 @@
         let (brain, _) = Brain::start(now, seed, self.terms(zone));
         let epoch = Epoch((u64::from(run) + 1) << 20 | n as u64);
         let pledges = self.pledges();
-        let stance = Stance { pledges, reserve: 0.0, seated: true, blind_after: None };
+        let stance =
+            Stance { pledges, reserve: 0.0, seated: true, seat: SeatId(n as u64 + 1), blind_after: None };
         let planners = self.shape.planners as u32;
         let guide = (planners > 0).then(|| Guide::start(now, epoch, stance, planners));
         let last_event = self.said.len() as u64;
--- a/crates/flaxdeck-guidance/examples/size.rs
+++ b/crates/flaxdeck-guidance/examples/size.rs
@@ -65,6 +65,7 @@
             };
             let report = Report {
                 envelope,
+                seat: Default::default(),
                 last_event: Default::default(),
                 version: round * 1_000,
                 zone: 0,
@@ -91,7 +92,13 @@
 fn report(hosts: u64) {
     let (mut brain, _) = Brain::start(at(0), 1, terms());
     brain.list(at(0), Coverage::Whole, lines(hosts));
-    let stance = Stance { pledges: pledges(), reserve: 0.0, seated: true, blind_after: None };
+    let stance = Stance {
+        pledges: pledges(),
+        reserve: 0.0,
+        seated: true,
+        seat: Default::default(),
+        blind_after: None,
+    };
     let mut guide = Guide::start(at(0), Epoch(1), stance, 2);
     let begun = Instant::now();
     const TIMES: u64 = 50;
--- a/crates/flaxdeck-guidance/src/forwarder.rs
+++ b/crates/flaxdeck-guidance/src/forwarder.rs
@@ -27,6 +27,8 @@
     pub reserve: f64,
     /// Whether this forwarder has a seat, and with it a share by right.
     pub seated: bool,
+    /// What stays the same over this forwarder's restarts.
+    pub seat: SeatId,
     /// With no word for this long of the coordinator, or of a planner that hears it, no host is vouched for.
     pub blind_after: Option<Span>,
 }
@@ -53,6 +55,8 @@
     reported: Option<Time>,
     /// When the coordinator was heard by way of it, at the earliest.
     vouched: Option<Time>,
+    /// When nothing is out any more that an earlier run lent to it, by its own word.
+    owes_until: Option<Time>,
 }
 
 /// What was refused, by reason.
@@ -94,7 +98,8 @@
 impl Guide {
     /// A forwarder that has just started, with so many planners in its file.
     pub fn start(now: Time, epoch: Epoch, stance: Stance, planners: u32) -> Guide {
-        let side = |_| Side { echo: None, version: 0, sent: 0, reported: None, vouched: None };
+        let side =
+            |_| Side { echo: None, version: 0, sent: 0, reported: None, vouched: None, owes_until: None };
         Guide {
             epoch,
             stance,
@@ -194,6 +199,7 @@
         let (from, sent) = (self.epoch, Stamp::of(now));
         Report {
             envelope: Envelope { from, to: known.epoch, number: side.sent, sent, echo: side.echo },
+            seat: self.stance.seat,
             last_event,
             version: side.version,
             zone: self.zone,
@@ -280,9 +286,16 @@
             }
             self.others.insert(word.life.clone(), (f64::from(word.others), echo));
         }
+        // Once it has lent itself, what an earlier run lent is of no more interest.
+        let owes = guidance.owes_ms.filter(|_| !self.shares.owns(now)).map(|ms| Span::from_ms(u64::from(ms)));
+        side.owes_until = owes.map(|owes| now + owes).or(side.owes_until);
         known.true_at = Some(echo);
         (side.echo, side.version) = (Some(sent), guidance.version);
         self.counted.guidance += 1;
+        // All planners that an earlier run may have lent to have said when nothing of it is out any more.
+        let all = self.sides.iter().map(|side| side.owes_until).collect::<Option<Vec<Time>>>();
+        let until = all.and_then(|all| all.into_iter().max());
+        until.into_iter().for_each(|until| self.shares.owns_by(until));
         Ok(())
     }
 
@@ -340,6 +353,13 @@
         self.sides.iter().filter_map(|side| side.vouched).chain(self.coordinator).max()
     }
 
+    /// Whether a planner that follows the coordinator was heard within its own second: then drains come by it as well.
+    pub fn planners_vouch(&self, now: Time) -> bool {
+        let heard = |known: &Known| known.live(now);
+        let vouched = |side: &Side| side.vouched.is_some_and(|at| now.since(at) < COORDINATOR_SILENT * 0.5);
+        self.known.iter().zip(&self.sides).any(|(known, side)| heard(known) && vouched(side))
+    }
+
     /// From when on what it may use of cold hosts is its own.
     pub fn owns_from(&self) -> Time {
         self.shares.owns_from()
--- a/crates/flaxdeck-guidance/src/lib.rs
+++ b/crates/flaxdeck-guidance/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`shares`]: the forwarder's part of what cold hosts bear: lending what it does not need, borrowing what it does.
 //! - [`pool`]: the planner's side of that: what was lent to it, and to whom it went.
 //! - [`ratings`]: everybody's samples of a host weighed into one picture.
+//! - [`seats`]: what a returning forwarder's earlier run may still have lent.
 //! - [`membership`]: which planner is in charge, by who was heard.
 //! - [`planner`] and [`forwarder`]: the whole of each side, speaking [`messages`].
 
@@ -14,6 +15,7 @@
 pub mod planner;
 pub mod pool;
 pub mod ratings;
+pub mod seats;
 pub mod shares;
 mod staircase;
 
--- a/crates/flaxdeck-guidance/src/messages.rs
+++ b/crates/flaxdeck-guidance/src/messages.rs
@@ -33,6 +33,10 @@
     }
 }
 
+/// What stays the same over a forwarder's restarts: a hash of where it listens. Zero stands for one that tells none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct SeatId(pub u64);
+
 /// A host from one start to the next: what it bears while cold belongs to that life alone.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Life {
@@ -95,6 +99,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     pub envelope: Envelope,
+    pub seat: SeatId,
     /// The coordinator's last event that it has applied.
     pub last_event: Mark,
     /// The version of the planner's ratings that it has.
@@ -153,6 +158,9 @@
     pub envelope: Envelope,
     /// How long ago the planner itself heard from the coordinator.
     pub coordinator_ago_ms: Option<u32>,
+    /// For how long something may still be out that an earlier run of this forwarder's seat lent to this planner; none
+    /// if it can't tell, having started too lately itself.
+    pub owes_ms: Option<u32>,
     /// The planner's own last event; none while it can't tell that it is the coordinator's last.
     pub upto: Option<Mark>,
     /// Ratings of later versions may follow.
--- a/crates/flaxdeck-guidance/src/planner.rs
+++ b/crates/flaxdeck-guidance/src/planner.rs
@@ -10,6 +10,7 @@
 use crate::messages::*;
 use crate::pool::Pool;
 use crate::ratings::{Standing, sensible, sensible_link};
+use crate::seats::Seats;
 use crate::{Parts, Pledges};
 
 /// A forwarder that says nothing for so long is forgotten; what it lent runs off by itself.
@@ -50,6 +51,8 @@
     pub reports: u64,
     pub out_of_order: u64,
     pub not_for_us: u64,
+    /// Reports of runs that a later one has followed.
+    pub ended: u64,
     pub nonsense: u64,
     pub unlisted: u64,
     pub grants: u64,
@@ -63,6 +66,7 @@
     owns_from: Time,
     members: BTreeMap<Epoch, Member>,
     pools: BTreeMap<Life, Pool>,
+    seats: Seats,
     hosts: BTreeMap<String, Host>,
     /// Hosts by the version of their last change, the youngest last.
     changes: BTreeMap<u64, String>,
@@ -89,6 +93,7 @@
             owns_from: now + pledges.planner_waits(),
             members: BTreeMap::new(),
             pools: BTreeMap::new(),
+            seats: Seats::new(now, pledges),
             hosts: BTreeMap::new(),
             changes: BTreeMap::new(),
             version: 0,
@@ -170,6 +175,10 @@
         if !self.members.contains_key(&from) && self.members.len() >= MEMBERS_MOST {
             return Err(self.nonsense());
         }
+        if !self.seats.met(now, report.seat, from) {
+            self.counted.ended += 1;
+            return Err(Refused::OldEpoch);
+        }
         // A stamp is this run's only if the forwarder says so, and none can be from the time to come.
         let seen = echo.filter(|_| to == self.epoch).map(Stamp::time);
         if seen.is_some_and(|seen| seen > now) {
@@ -195,8 +204,12 @@
         self.link(now, written, report);
         report.samples.iter().for_each(|sample| self.sample(now, from, written.max(now - REFRESH), sample));
         let grants = report.trades.iter().filter_map(|trade| self.trade(now, from, seen, trade)).collect();
+        if seen.is_some() && report.trades.iter().any(|trade| trade.lends > Parts::NONE) {
+            self.seats.lent(now, report.seat);
+        }
         let mut guidance = self.guidance(now, from);
         guidance.grants = grants;
+        guidance.owes_ms = self.seats.owes(now, report.seat).map(ms_up);
         let word = |(life, pool): (&Life, &Pool)| Word {
             life: life.clone(),
             wanted: pool.wanted_by_others(from),
@@ -304,6 +317,7 @@
             envelope,
             link: link.map(|(full, at)| Fullness { full: *full, ago_ms: ms_up(now.since(*at)) }),
             coordinator_ago_ms: self.coordinator.map(|at| ms_up(now.since(at))),
+            owes_ms: None,
             upto,
             version: member.version,
             after,
--- a/crates/flaxdeck-guidance/src/shares.rs
+++ b/crates/flaxdeck-guidance/src/shares.rs
@@ -194,6 +194,11 @@
         self.owns_from = now + waits;
     }
 
+    /// Its own shares are its own by then, if not sooner.
+    pub fn owns_by(&mut self, until: Time) {
+        self.owns_from = self.owns_from.min(until);
+    }
+
     /// From now on nothing is lent without leave: what is lent must be known to the next run.
     pub fn needs_leave(&mut self, now: Time) {
         self.leave = Some(now);
--- a/crates/flaxdeck-guidance/tests/two_levels.rs
+++ b/crates/flaxdeck-guidance/tests/two_levels.rs
@@ -5,7 +5,7 @@
 use flaxdeck::words::*;
 use flaxdeck_guidance::forwarder::{Guide, Informed, Stance};
 use flaxdeck_guidance::membership::{PlannerId, Refused};
-use flaxdeck_guidance::messages::{Epoch, Grant, Guidance, Life, Rating, Relayed, Report};
+use flaxdeck_guidance::messages::{Epoch, Grant, Guidance, Life, Rating, Relayed, Report, SeatId};
 use flaxdeck_guidance::planner::Planner;
 use flaxdeck_guidance::{Parts, Pledges};
 use flaxdeck_recovery::Mark;
@@ -29,7 +29,8 @@
 }
 
 fn stance() -> Stance {
-    Stance { pledges: pledges(), reserve: 0.0, seated: true, blind_after: Some(Span::from_ms(2_500)) }
+    let (pledges, blind_after) = (pledges(), Some(Span::from_ms(2_500)));
+    Stance { pledges, reserve: 0.0, seated: true, seat: SeatId(0), blind_after }
 }
 
 /// A host as a forwarder sees it.
@@ -334,8 +335,10 @@
     const STEP: u64 = 20;
     let mut chance = Pcg64Mcg::seed_from_u64(seed);
     let mut planners: Vec<Planner> = (1..=2).map(|n| planner(at(0), n, 0.0)).collect();
-    let start =
-        |n: usize, epoch: u64, ms: u64| Guide::start(at(ms), Epoch(epoch * 1_000 + n as u64), stance(), 2);
+    let seat = |n: usize| SeatId(n as u64 + 1);
+    let start = |n: usize, epoch: u64, ms: u64| {
+        Guide::start(at(ms), Epoch(epoch * 1_000 + n as u64), Stance { seat: seat(n), ..stance() }, 2)
+    };
     let mut guides: Vec<Guide> = (0..forwarders).map(|n| start(n, 1, 0)).collect();
     let mut runs = vec![1u64; forwarders];
     let mut spent: Vec<Vec<(u64, f64)>> = vec![Vec::new(); forwarders];
@@ -430,6 +433,31 @@
     assert!(guided > alone * 0.8, "{guided} {alone}");
 }
 
+#[test]
+fn a_forwarder_that_returns_uses_its_share_as_soon_as_all_planners_say_that_nothing_of_it_is_out() {
+    let seated = Stance { seat: SeatId(7), ..stance() };
+    let mut planners: Vec<Planner> = (1..=2).map(|n| planner(at(0), n, 0.0)).collect();
+    let tell = |guide: &mut Guide, planners: &mut [Planner], which: usize, ms: u64| {
+        let to = PlannerId(which as u32);
+        let report = guide.report(at(ms), to, &[], mark(0));
+        let guidance = planners[which].report(at(ms), &report).unwrap();
+        guide.guided(at(ms + 1), to, guidance, mark(0)).unwrap();
+        guide.owns_from()
+    };
+    let waits = pledges().forwarder_waits();
+    // The planners have just started as well: nobody can tell.
+    let mut first = Guide::start(at(100), Epoch(1), seated, 2);
+    tell(&mut first, &mut planners, 0, 110);
+    assert_eq!(tell(&mut first, &mut planners, 1, 110), at(100) + waits);
+    // Later both can; the first word of one of them is not enough.
+    let mut second = Guide::start(at(20_000), Epoch(2), seated, 2);
+    assert_eq!(tell(&mut second, &mut planners, 0, 20_010), at(20_000) + waits);
+    assert_eq!(tell(&mut second, &mut planners, 1, 20_010), at(20_011));
+    // A report of the first that was still on its way lends nothing any more.
+    let late = first.report(at(19_900), P, &[], mark(0));
+    assert_eq!(planners[0].report(at(20_100), &late), Err(Refused::OldEpoch));
+}
+
 #[test]
 fn where_one_asks_for_all_it_gets_over_four_fifths_at_any_number_of_forwarders() {
     for forwarders in [2, 8, 32] {
--- a/crates/flaxdeck-net/src/listener.rs
+++ b/crates/flaxdeck-net/src/listener.rs
@@ -11,15 +11,29 @@
 
 pub struct Listener(TcpListener);
 
-impl Listener {
-    /// Listens on that address only; a start right after a kill finds it free again.
-    pub fn open(address: SocketAddr) -> io::Result<Listener> {
+/// An address that is taken and not listened at yet: who connects is refused at once.
+pub struct Claim(Socket);
+
+impl Claim {
+    /// Takes the address, unless somebody listens there. A start right after a kill finds it free again.
+    pub fn take(address: SocketAddr) -> io::Result<Claim> {
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
         socket.set_reuse_address(true)?;
         socket.set_nonblocking(true)?;
         socket.bind(&address.into())?;
-        socket.listen(BACKLOG)?;
-        TcpListener::from_std(socket.into()).map(Listener)
+        Ok(Claim(socket))
+    }
+
+    pub fn listen(self) -> io::Result<Listener> {
+        self.0.listen(BACKLOG)?;
+        TcpListener::from_std(self.0.into()).map(Listener)
+    }
+}
+
+impl Listener {
+    /// Listens on that address only.
+    pub fn open(address: SocketAddr) -> io::Result<Listener> {
+        Claim::take(address)?.listen()
     }
     pub fn address(&self) -> io::Result<SocketAddr> {
         self.0.local_addr()
--- a/crates/flaxdeck-net/src/tally.rs
+++ b/crates/flaxdeck-net/src/tally.rs
@@ -25,6 +25,7 @@
     pulls_id_in_use,
     finished,
     unchanged,
+    unchanged_of_another,
     bounced,
     forfeited,
     left,
--- a/crates/flaxdeck-recovery/src/numbering.rs
+++ b/crates/flaxdeck-recovery/src/numbering.rs
@@ -13,8 +13,9 @@
 const SETTLES: Span = Span::from_ms(30);
 
 /// The last event known is sent at once if it is there at all: with nothing after a slow trip and a burst before it, the
-/// coordinator lacks it, and would say so only by its empty frame a second later.
-const PROVES: Span = Span::from_ms(300);
+/// coordinator lacks it, and would say so only by its empty frame a second later. The same holds for what others brought
+/// first: on a link that is whole it comes as well.
+const PROVES: Span = Span::from_ms(500);
 /// The last events by their numbers, against which a link's are held: more than a planner passes on at once.
 const REMEMBERED: usize = 256;
 /// How long nothing is taken from others after the coordinator contradicted what they brought. They follow what was,
@@ -90,6 +91,8 @@
     /// The last events as applied, whoever brought them.
     applied: BTreeMap<u64, u64>,
     distrusts_until: Time,
+    /// The first event that others brought and the link has not, and since when.
+    unechoed: Option<(u64, Time)>,
 }
 
 impl Numbering {
@@ -97,7 +100,18 @@
     pub fn new(last: Mark) -> Numbering {
         let (link, from_the_start, sure, ended_whole) = (None, false, None, false);
         let (applied, distrusts_until) = (BTreeMap::from([(last.number, last.hash)]), Time::default());
-        Numbering { last, link, from_the_start, sure, ended_whole, trusts: false, applied, distrusts_until }
+        let (trusts, unechoed) = (false, None);
+        Numbering {
+            last,
+            link,
+            from_the_start,
+            sure,
+            ended_whole,
+            trusts,
+            applied,
+            distrusts_until,
+            unechoed,
+        }
     }
 
     /// One that believes the numbers, and applies what is above the last.
@@ -106,8 +120,8 @@
     }
 
     /// What was kept goes further than what the instance was started with; it has to be proven like that.
-    pub fn begin_at(&mut self, last: Mark) {
-        *self = Numbering { trusts: self.trusts, ..Numbering::new(last) };
+    pub fn begin_at(&mut self, now: Time, last: Mark) {
+        *self = Numbering { trusts: self.trusts, sure: Some(now), ..Numbering::new(last) };
     }
 
     pub fn last(&self) -> Mark {
@@ -127,6 +141,7 @@
             _ => self.last.number.saturating_sub(1),
         };
         self.link = Some(Link { asked, proven: self.trusts, heard: now, new: true });
+        self.unechoed = None;
         asked
     }
 
@@ -144,7 +159,9 @@
         let next = if link.proven { self.on_proven(now, mark) } else { self.on_first(mark, whole) };
         match next {
             Next::Apply => self.applies(mark),
-            Next::Adopt(_) => {
+            Next::Adopt(doubt) => {
+                // Others follow what was until they find out as well.
+                self.distrusts_until = doubt.map_or(self.distrusts_until, |_| now + DISTRUSTS);
                 self.applied.clear();
                 self.applies(mark);
             }
@@ -172,6 +189,10 @@
             number if number <= self.last.number => {
                 let other = !self.trusts && self.applied.get(&number).is_some_and(|hash| *hash != mark.hash);
                 if !other {
+                    let echoed = self.unechoed.is_some_and(|(first, _)| number >= first);
+                    if echoed {
+                        self.unechoed = (number < self.last.number).then_some((number + 1, now));
+                    }
                     return Next::Skip;
                 }
                 (self.from_the_start, self.distrusts_until) = (true, now + DISTRUSTS);
@@ -210,12 +231,24 @@
         Next::AskAgain(why)
     }
 
-    /// When a link that has proven nothing by then lacks what was asked for.
+    /// When a link that has brought nothing by then lacks what was asked for, or what others have brought.
     pub fn proves_by(&self) -> Option<Time> {
-        self.link.as_ref().filter(|link| !link.proven).map(|link| link.heard + PROVES)
+        let link = self.link.as_ref()?;
+        let since = if link.proven { self.unechoed.map(|(_, since)| since) } else { Some(link.heard) };
+        since.map(|since| since + PROVES)
+    }
+
+    /// That time has come.
+    pub fn overdue(&mut self, now: Time) -> Next {
+        if self.link.as_ref().is_some_and(|link| link.proven) {
+            // It may only be slow, or dead: asked anew, it shows whether it knows that event.
+            self.link = None;
+            return Next::AskAgain(Why::Nothing);
+        }
+        self.alive(now)
     }
 
-    /// An empty frame has come, or that time. On a link that has proven nothing it says that the coordinator lacks the last event
+    /// An empty frame has come. On a link that has proven nothing it says that the coordinator lacks the last event
     /// known: the link has to be ended.
     pub fn alive(&mut self, now: Time) -> Next {
         let Some(link) = &mut self.link else { return Next::Skip };
@@ -245,6 +278,10 @@
         let follows = after == self.last && mark.number == after.number + 1 && now >= self.distrusts_until;
         if follows {
             self.applies(mark);
+            self.sure = Some(now); // no more a file's: who passed it on follows the coordinator
+            if self.link.as_ref().is_some_and(|link| link.proven) && !self.trusts {
+                self.unechoed.get_or_insert((mark.number, now));
+            }
         }
         follows
     }
@@ -341,7 +378,13 @@
         assert!(!numbering.relayed(at(2), mark(19, 1), mark(20, 7)), "known");
         assert!(numbering.relayed(at(2), mark(20, 7), mark(21, 1)));
         assert_eq!(numbering.heard(at(9), mark(21, 1), false), Next::Skip);
+        assert_eq!(numbering.proves_by(), None, "the link has brought it too");
         assert_eq!(numbering.heard(at(9), mark(22, 1), false), Next::Apply);
+        // What it does not bring in its turn it may not know.
+        assert!(numbering.relayed(at(10), mark(22, 1), mark(23, 1)));
+        assert_eq!(numbering.proves_by(), Some(at(510)));
+        assert_eq!(numbering.overdue(at(510)), Next::AskAgain(Why::Nothing));
+        assert_eq!(numbering.ask(at(520)), 22);
     }
 
     #[test]
@@ -359,6 +402,18 @@
         assert_eq!(numbering.heard(at(41), mark(21, 8), false), Next::Apply);
     }
 
+    #[test]
+    fn what_was_heard_of_others_or_kept_is_in_doubt_as_well_when_the_numbering_is_another() {
+        let mut numbering = Numbering::new(mark(1, 3));
+        assert!(numbering.relayed(at(5), mark(1, 3), mark(2, 3)));
+        numbering.ask(at(9));
+        assert!(matches!(numbering.heard(at(10), mark(1, 4), true), Next::Adopt(Some(_))));
+        let mut numbering = Numbering::new(mark(1, 3));
+        numbering.begin_at(at(5), mark(9, 3));
+        numbering.ask(at(9));
+        assert!(matches!(numbering.heard(at(10), mark(1, 4), true), Next::Adopt(Some(_))));
+    }
+
     #[test]
     fn a_files_numbering_that_turns_out_another_is_no_doubt_of_ours() {
         let mut numbering = Numbering::new(mark(1, 3));
--- a/crates/flaxdeck-recovery/src/pace.rs
+++ b/crates/flaxdeck-recovery/src/pace.rs
@@ -9,6 +9,12 @@
 /// The next pause is drawn from the least one up to so many times the last one.
 const GROWS: f64 = 3.0;
 
+/// With somebody else to hear it from, a call that failed may wait so many times as long.
+const CALM: f64 = 10.0;
+/// And the first call waits for a draw from this range, so that those who pass on what they hear are answered first:
+/// the least is a connection, a report and an answer, the rest a spread that leaves all of it within half a second.
+const FIRST: [Span; 2] = [Span::from_ms(150), Span::from_ms(450)];
+
 /// One called party's pauses.
 pub struct Pace {
     chance: Pcg64Mcg,
@@ -30,13 +36,24 @@
         self.up_since.get_or_insert(now);
     }
 
+    /// Before the first call, where others tell the same and may be heard sooner.
+    pub fn first(&mut self) -> Span {
+        Span::of_ms(self.chance.random_range(FIRST[0].ms()..=FIRST[1].ms()))
+    }
+
+    /// It has become urgent: the next pause is as after a first failure, and drawn as ever.
+    pub fn hurry(&mut self) {
+        self.last = self.least;
+    }
+
     /// A call failed, or what it began is over: how long to wait before the next. One that lasted for as long as the
-    /// longest pause begins anew; one that breaks at once is as good as none.
-    pub fn pause(&mut self, now: Time) -> Span {
+    /// longest pause begins anew; one that breaks at once is as good as none. Calm is who hears the same from others.
+    pub fn pause(&mut self, now: Time, calm: bool) -> Span {
         if self.up_since.take().is_some_and(|since| now.since(since) >= self.most) {
             self.last = self.least;
         }
-        let (least, most) = (self.least.ms(), (self.last.ms() * GROWS).min(self.most.ms()));
+        let most = if calm { self.most * CALM } else { self.most };
+        let (least, most) = (self.least.ms(), (self.last.ms() * GROWS).min(most.ms()));
         let drawn = Span::of_ms(if most > least { self.chance.random_range(least..=most) } else { least });
         self.last = drawn;
         drawn
@@ -61,7 +78,7 @@
         for seed in 0..1_000 {
             let (mut pace, mut now) = (Pace::new(seed, LEAST, MOST), 0.0);
             while now < 9_000.0 {
-                now += pace.pause(at(now)).ms();
+                now += pace.pause(at(now), false).ms();
                 calls[(now / 20.0) as usize] += 1;
             }
         }
@@ -73,20 +90,38 @@
         assert!((5_000..15_000).contains(&late), "{late} in 5 s");
     }
 
+    #[test]
+    fn who_hears_the_same_from_others_calls_seldom_until_that_ends() {
+        let (mut pace, mut now) = (Pace::new(5, LEAST, MOST), at(0.0));
+        let longest = (0..30).map(|_| pace.pause(now, true)).max().unwrap();
+        assert!(longest > MOST && longest <= MOST * CALM, "{longest:?}");
+        pace.hurry();
+        now = now + longest;
+        assert!(pace.pause(now, false) <= LEAST * GROWS);
+        let firsts: Vec<Span> = (0..200).map(|seed| Pace::new(seed, LEAST, MOST).first()).collect();
+        assert!(firsts.iter().all(|first| (FIRST[0]..=FIRST[1]).contains(first)));
+        // Spread: in step they would be 200 within any 30 ms.
+        for from in (150..420).step_by(10) {
+            let within = |first: &&Span| (f64::from(from)..f64::from(from) + 30.0).contains(&first.ms());
+            let count = firsts.iter().filter(within).count();
+            assert!(count < 40, "{count} within 30 ms from {from}");
+        }
+    }
+
     #[test]
     fn pauses_stay_within_their_bounds_and_begin_anew_after_a_call_that_lasted() {
         let mut pace = Pace::new(3, LEAST, MOST);
         let mut now = at(0.0);
         for _ in 0..1_000 {
-            let pause = pace.pause(now);
+            let pause = pace.pause(now, false);
             assert!(pause >= LEAST && pause <= MOST);
             now = now + pause;
         }
         pace.answered(now);
-        let short = pace.pause(now + LEAST);
+        let short = pace.pause(now + LEAST, false);
         assert!(short >= LEAST, "one that breaks at once changes nothing");
         pace.answered(now);
-        let first = pace.pause(now + MOST);
+        let first = pace.pause(now + MOST, false);
         assert!(first <= LEAST * GROWS, "{first:?}");
     }
 }
--- a/crates/flaxdeck-recovery/src/phase.rs
+++ b/crates/flaxdeck-recovery/src/phase.rs
@@ -34,11 +34,12 @@
     unheard: Unheard,
     vouched: Option<Time>,
     listened: Option<Time>,
+    full: bool,
 }
 
 impl Return {
     pub fn begin(now: Time, unheard: Unheard) -> Return {
-        Return { began: now, unheard, vouched: None, listened: None }
+        Return { began: now, unheard, vouched: None, listened: None, full: false }
     }
 
     /// Somebody vouches for the list.
@@ -59,6 +60,13 @@
         }
     }
 
+    /// How long the whole return took, told once, when it has come to its end.
+    pub fn full(&mut self, now: Time, owns_from: Time) -> Option<Span> {
+        let reached = !self.full && self.phase(now, owns_from) == Phase::Full;
+        self.full |= reached;
+        reached.then(|| now.since(self.began))
+    }
+
     /// When clients are to be taken whatever has been heard by then.
     pub fn listens_at(&self) -> Time {
         match (self.vouched, self.unheard) {
@@ -91,6 +99,9 @@
         assert_eq!(back.listens_at(), at(12));
         assert_eq!(back.phase(at(13), at(5_000)), Phase::Vouched);
         assert_eq!(back.phase(at(5_000), at(5_000)), Phase::Full);
+        assert_eq!(back.full(at(4_999), at(5_000)), None);
+        assert_eq!(back.full(at(5_000), at(5_000)), Some(Span::from_ms(5_000)));
+        assert_eq!(back.full(at(5_001), at(5_000)), None, "told once");
         back.listens(at(14));
         assert_eq!(back.took(), [Some(Span::from_ms(12)), Some(Span::from_ms(14))]);
     }
--- a/crates/flaxdeck-talk/src/feed.rs
+++ b/crates/flaxdeck-talk/src/feed.rs
@@ -1,7 +1,7 @@
 //! The coordinator's connection. What follows what, and whether the numbering is still the one known here, is decided
 //! in `flaxdeck_recovery::numbering`.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,6 +12,7 @@
 use flaxdeck_recovery::{Mark, Pace};
 use flaxdeck_terms::Names;
 use flaxdeck_terms::fields::Fields;
+use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use flaxdeck_net::clock::{self, Clock};
@@ -30,6 +31,27 @@
 /// coordinator pauses between two words by itself.
 const RETRY: [Span; 2] = [Span::from_ms(100), Span::from_ms(1000)];
 
+/// Whether others tell what the coordinator would, so that a call to it has time.
+#[derive(Default)]
+pub struct Urgency {
+    calm: Cell<bool>,
+    hurry: Notify,
+}
+
+impl Urgency {
+    /// Nobody else can be asked.
+    pub fn hurry(&self) {
+        self.calm.set(false);
+        self.hurry.notify_one();
+    }
+
+    pub fn set_calm(&self, calm: bool) {
+        if self.calm.replace(calm) && !calm {
+            self.hurry();
+        }
+    }
+}
+
 /// What the coordinator says.
 pub enum Word {
     /// Nothing new, but it is there.
@@ -48,6 +70,9 @@
     numbering: Rc<RefCell<Numbering>>,
     pace: Pace,
     link: Option<(Inbound, Outbound)>,
+    urgency: Rc<Urgency>,
+    /// Others may tell the same sooner: the first call waits.
+    waits: bool,
     /// It has been told that all has come which the coordinator had when the link came up.
     told_current: bool,
 }
@@ -68,7 +93,9 @@
         let numbering = if trusts { Numbering::trusting(last) } else { Numbering::new(last) };
         let numbering = Rc::new(RefCell::new(numbering));
         let (pace, clock) = (Pace::new(seed, RETRY[0], RETRY[1]), Clock::start());
-        let feed = Feed { address, names, clock, numbering, pace, link: None, told_current: false };
+        let (urgency, waits) = (Rc::default(), false);
+        let feed =
+            Feed { address, names, clock, numbering, pace, link: None, urgency, waits, told_current: false };
         Ok((feed, events))
     }
 
@@ -77,6 +104,12 @@
         self.numbering.clone()
     }
 
+    /// What tells it when to hurry. Beside planners, who may tell the same sooner, the first call waits a little.
+    pub fn urgency(&mut self, beside_planners: bool) -> Rc<Urgency> {
+        self.waits = beside_planners;
+        self.urgency.clone()
+    }
+
     /// Whether all has come that the coordinator had to tell when the link came up.
     pub fn is_current(&self) -> bool {
         self.told_current
@@ -100,13 +133,31 @@
     }
 
     async fn pause(&mut self) {
-        let pause = self.pace.pause(self.clock.now());
-        sleep(clock::length(pause)).await;
+        let pause = self.pace.pause(self.clock.now(), self.urgency.calm.get());
+        self.wait(pause).await;
+    }
+
+    /// All that hurry at once still draw a pause each.
+    async fn wait(&mut self, pause: Span) {
+        let hurries = tokio::select! {
+            () = sleep(clock::length(pause)) => false,
+            () = self.urgency.hurry.notified() => true,
+        };
+        if hurries {
+            self.pace.hurry();
+            let pause = self.pace.pause(self.clock.now(), false);
+            sleep(clock::length(pause)).await;
+        }
     }
 
     /// The coordinator's next word; connections that end are opened again.
     pub async fn next(&mut self) -> Word {
         loop {
+            if self.waits {
+                let first = self.pace.first();
+                self.wait(first).await;
+                self.waits = false;
+            }
             let Some((inbound, _)) = &mut self.link else {
                 self.connect().await;
                 continue;
@@ -158,11 +209,15 @@
                         let numbering = self.numbering.borrow();
                         (numbering.current_at().filter(|_| !self.told_current), numbering.proves_by())
                     };
-                    let due = settles.or(proves).map(|at| self.clock.instant(at) + Duration::from_millis(1));
+                    let due = [settles, proves]
+                        .into_iter()
+                        .flatten()
+                        .min()
+                        .map(|at| self.clock.instant(at) + Duration::from_millis(1));
                     let limit = due.map_or(SILENT, |at| at.duration_since(Instant::now()));
                     match timeout(limit, inbound.more(more)).await {
                         Ok(Ok(true)) => {}
-                        Err(_) if settles.is_some() => {
+                        Err(_) if settles.is_some() && settles <= proves.or(settles) => {
                             self.told_current = self.numbering.borrow().current(self.clock.now());
                             if self.told_current {
                                 self.pace.answered(self.clock.now());
@@ -170,7 +225,7 @@
                             }
                         }
                         Err(_) if proves.is_some() => {
-                            let next = self.numbering.borrow_mut().alive(self.clock.now());
+                            let next = self.numbering.borrow_mut().overdue(self.clock.now());
                             log::warn!("the coordinator has nothing where it was asked: {next:?}");
                             self.hang_up(false);
                             self.pause().await;
--- a/crates/flaxdeck-talk/src/seal.rs
+++ b/crates/flaxdeck-talk/src/seal.rs
@@ -16,7 +16,7 @@
 use serde::de::DeserializeOwned;
 
 /// Of this protocol; another is refused with a word in the log.
-pub const VERSION: u8 = 1;
+pub const VERSION: u8 = 2;
 /// Bytes of the greeting.
 pub const GREETING: usize = 4 + 1 + 1 + NONCE + HASH;
 /// Bytes of one frame at most: events, grants and ratings at their bounds fit.
@@ -247,7 +247,7 @@
         let other = Greeting::new(Side::Forwarder, [9; 16]).bytes(&key('b'));
         assert_eq!(read(&other, Side::Forwarder), Err(Malformed("another key")));
         let mut later = bytes.to_vec();
-        later[4] = 2;
+        later[4] = VERSION + 1;
         assert_eq!(read(&later, Side::Forwarder), Err(Malformed("another version of this protocol")));
         assert_eq!(read(b"GET / HTTP/1.1\r\n", Side::Forwarder), Err(Malformed("not of this protocol")));
     }
--- a/crates/flaxdeck-wire/src/lib.rs
+++ b/crates/flaxdeck-wire/src/lib.rs
@@ -62,6 +62,8 @@
     pub ending: Ending,
     pub body: Bytes,
     pub unchanged: bool,
+    /// The tag that an answer without bytes names.
+    pub named: Option<Bytes>,
     pub told: Told,
     pub waited: Option<Span>,
     pub link: Option<f64>,
@@ -70,8 +72,13 @@
 
 impl Outcome {
     pub fn bare(ending: Ending) -> Outcome {
-        let (body, told) = (Bytes::new(), Told::Nothing);
-        Outcome { ending, body, unchanged: false, told, waited: None, link: None, in_hand: None }
+        let (body, named, told) = (Bytes::new(), None, Told::Nothing);
+        Outcome { ending, body, unchanged: false, named, told, waited: None, link: None, in_hand: None }
+    }
+
+    /// Whether it says that the client's copy is the one, of a copy that the client does not hold.
+    pub fn is_of_another_copy(&self, asked: &Asked) -> bool {
+        self.unchanged && (self.named.is_none() || self.named != asked.holds)
     }
 }
 
--- a/crates/flaxdeck-wire/src/lines.rs
+++ b/crates/flaxdeck-wire/src/lines.rs
@@ -151,6 +151,7 @@
     for field in fields.split(',').filter(|field| *field != "-") {
         let (name, value) = field.split_once('=').ok_or(Malformed("a field without a value"))?;
         match name {
+            "version" if unchanged => outcome.named = Some(Bytes::copy_from_slice(value.as_bytes())),
             "how" => outcome.told = note(value),
             "took" => outcome.waited = number(value).map(Span::of_ms),
             "stats" => {
@@ -258,6 +259,22 @@
         }
     }
 
+    #[test]
+    fn a_copy_is_the_clients_own_only_if_its_tag_is_named() {
+        let read = |fields: &str, holds: Option<&'static str>| {
+            let mut buffer = BytesMut::from(&*format!("1 unchanged {fields} 0\r\n\r\n"));
+            let Ok(Parsed::Whole(line)) = parse(&mut buffer, &names()) else { panic!("it is whole") };
+            line.outcome.is_of_another_copy(&Asked { holds: holds.map(Bytes::from), ..asked() })
+        };
+        assert!(!read("version=4be0,how=hit", Some("4be0")));
+        for (fields, holds) in
+            [("version=4be1", Some("4be0")), ("how=hit", Some("4be0")), ("version=4be0", None)]
+        {
+            assert!(read(fields, holds), "{fields}");
+        }
+        assert!(read("how=hit", None));
+    }
+
     #[test]
     fn what_is_no_answer_is_refused() {
         let long = "x".repeat(HEAD_MOST + 2);
--- a/examples/toy/src/host.rs
+++ b/examples/toy/src/host.rs
@@ -11,8 +11,10 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Manner {
     Serve,
-    /// With that word in place of `data`: `unchanged`, `absent`, `full`, `failed` or `moot`.
+    /// With that word in place of `data`: `absent`, `full`, `failed` or `moot`.
     Say(&'static str),
+    /// Says of a copy that the client holds that it is unchanged, and names that tag; an empty one names none.
+    Unchanged(&'static str),
     /// Serves after so many milliseconds.
     Late(u64),
     /// Takes requests and says nothing.
@@ -141,7 +143,9 @@
         };
         match manner {
             Manner::Serve | Manner::Once => say("data", &told, &body, id)?,
-            Manner::Say("unchanged") => say("unchanged", &told, &[], id)?,
+            Manner::Unchanged(_) if value("holds").is_empty() => say("data", &told, &body, id)?,
+            Manner::Unchanged("") => say("unchanged", note, &[], id)?,
+            Manner::Unchanged(tag) => say("unchanged", &format!("version={tag},{note}"), &[], id)?,
             Manner::Say(word) => say(word, "-", &[], id)?,
             Manner::Late(ms) => {
                 std::thread::sleep(Duration::from_millis(ms));
