--- a/crates/flaxdeck-cli/src/recovery.rs
+++ b/crates/flaxdeck-cli/src/recovery.rs
@@ -1,13 +1,14 @@
 //! `flaxdeck recovery`: forwarders and planners killed and started again among stand-ins on loopback, beside a twin in
 //! which nothing of ours is killed.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::thread::sleep;
 use std::time::Duration;
 
 use clap::{Args, ValueEnum};
 use flaxdeck_emulator::fleet::{Fault, Fleet, Setup};
 use flaxdeck_emulator::{End, Kind, Layout, Load, PULSE, Patience, Pulse, World};
+use flaxdeck_lab::keep::Column;
 use flaxdeck_lab::service::{self, Lost, SLICE, Slice};
 
 use crate::{Stop, faulty};
@@ -90,6 +91,96 @@
     /// Print each half second
     #[arg(long)]
     slices: bool,
+    /// Keep raw results in this folder: slices.parquet, runs.parquet
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+/// When a run's service was full, and what was lost.
+type Time = (Shape, Option<f64>, Lost);
+
+/// What all runs came to, to be kept.
+#[derive(Default)]
+struct Kept {
+    /// Whether it is the twin, and its slices.
+    runs: Vec<(Shape, bool, Vec<Slice>)>,
+    times: Vec<Time>,
+}
+
+const HEAD: [&str; 16] = [
+    "world",
+    "forwarders",
+    "planners",
+    "killed",
+    "state",
+    "full, s",
+    "worst",
+    "in hand",
+    "while down",
+    "after",
+    "held most",
+    "turned away",
+    "lists/s",
+    "origin refuses",
+    "of bound",
+    "broken",
+];
+
+/// Cells under their names.
+fn spaced(cells: &[String]) -> String {
+    let cell = |(cell, name): (&String, &&str)| format!("{cell:>width$}", width = name.len().max(9));
+    cells.iter().zip(&HEAD).map(cell).collect::<Vec<_>>().join("  ")
+}
+
+/// Raw results as tables.
+fn keep(folder: &Path, kept: &Kept) -> Result<(), String> {
+    std::fs::create_dir_all(folder).map_err(|error| format!("{}: {error}", folder.display()))?;
+    let words = |of: &dyn Fn(&Shape) -> String| -> Column {
+        Column::Text(
+            kept.runs.iter().flat_map(|(shape, _, slices)| slices.iter().map(|_| of(shape))).collect(),
+        )
+    };
+    let whole = |of: &dyn Fn(&Shape, bool, usize, &Slice) -> i64| -> Column {
+        let rows = kept.runs.iter().flat_map(|(shape, twin, slices)| {
+            slices.iter().enumerate().map(|(at, slice)| of(shape, *twin, at, slice))
+        });
+        Column::Whole(rows.collect())
+    };
+    let columns = [
+        ("world", words(&|shape| format!("{:?}", shape.place).to_lowercase())),
+        ("state", words(&|shape| format!("{:?}", shape.state).to_lowercase())),
+        ("forwarders", whole(&|shape, _, _, _| shape.forwarders as i64)),
+        ("planners", whole(&|shape, _, _, _| shape.planners as i64)),
+        ("killed_percent", whole(&|shape, _, _, _| (shape.killed * 100.0).round() as i64)),
+        ("seed", whole(&|shape, _, _, _| shape.seed as i64)),
+        ("is_twin", whole(&|_, twin, _, _| i64::from(twin))),
+        ("from_ms", whole(&|_, _, at, _| (at as f64 * SLICE) as i64)),
+        ("wants", whole(&|_, _, _, slice| slice.wants as i64)),
+        ("in_time", whole(&|_, _, _, slice| slice.in_time as i64)),
+        ("bounced", whole(&|_, _, _, slice| slice.bounced as i64)),
+        ("cache_answers", whole(&|_, _, _, slice| slice.answers as i64)),
+        ("cache_hits", whole(&|_, _, _, slice| slice.hits as i64)),
+        ("turned_away", whole(&|_, _, _, slice| slice.turned_away as i64)),
+    ];
+    flaxdeck_lab::keep::write(&folder.join("slices.parquet"), &columns)?;
+    let number = |of: &dyn Fn(&Time) -> f64| Column::Number(kept.times.iter().map(of).collect());
+    let text = |of: &dyn Fn(&Shape) -> String| {
+        Column::Text(kept.times.iter().map(|(shape, ..)| of(shape)).collect())
+    };
+    let columns = [
+        ("world", text(&|shape| format!("{:?}", shape.place).to_lowercase())),
+        ("state", text(&|shape| format!("{:?}", shape.state).to_lowercase())),
+        ("forwarders", number(&|(shape, ..)| shape.forwarders as f64)),
+        ("planners", number(&|(shape, ..)| shape.planners as f64)),
+        ("killed", number(&|(shape, ..)| shape.killed)),
+        ("seed", number(&|(shape, ..)| shape.seed as f64)),
+        // Minus one for a run that never came back in full.
+        ("full_ms", number(&|(_, full, _)| full.unwrap_or(-1.0))),
+        ("lost_in_hand", number(&|(.., lost)| lost.in_hand)),
+        ("lost_while_down", number(&|(.., lost)| lost.while_down)),
+        ("lost_after", number(&|(.., lost)| lost.after)),
+    ];
+    flaxdeck_lab::keep::write(&folder.join("runs.parquet"), &columns)
 }
 
 #[derive(Clone, Copy)]
@@ -114,26 +205,8 @@
     if asked.killed.iter().any(|part| !(0.0..=1.0).contains(part)) {
         return Err(faulty("--killed takes parts from 0 to 1"));
     }
-    println!(
-        "{:<12} {:>10} {:>8} {:>6} {:>6}  {:>13} {:>9}  {:>7} {:>10} {:>6}  {:>10} {:>12} {:>11} {:>13} {:>9} {:>6}",
-        "world",
-        "forwarders",
-        "planners",
-        "killed",
-        "state",
-        "full, s: med.",
-        "worst",
-        "in hand",
-        "while down",
-        "after",
-        "held most",
-        "turned away",
-        "lists/s",
-        "origin refuses",
-        "of bound",
-        "broken"
-    );
-    let mut broken = 0;
+    println!("{}", spaced(&HEAD.map(String::from)));
+    let (mut broken, mut kept) = (0, Kept::default());
     for place in &asked.worlds {
         for forwarders in &asked.forwarders {
             for planners in &asked.planners {
@@ -143,16 +216,20 @@
                     .flat_map(|killed| asked.state.iter().map(move |state| (*killed, *state)))
                 {
                     let (place, forwarders, planners, seed) = (*place, *forwarders, *planners, 0);
-                    broken += row(asked, Shape { place, forwarders, planners, killed, state, seed })?;
+                    let shape = Shape { place, forwarders, planners, killed, state, seed };
+                    broken += row(asked, shape, &mut kept)?;
                 }
             }
         }
     }
+    if let Some(folder) = &asked.keep {
+        keep(folder, &kept)?;
+    }
     if broken == 0 { Ok(()) } else { Err(Stop(1, format!("{broken} times a rule was broken"))) }
 }
 
 /// Plays the runs of one row and prints it; gives how often a rule was broken.
-fn row(asked: &Asked, shape: Shape) -> Result<usize, Stop> {
+fn row(asked: &Asked, shape: Shape, kept: &mut Kept) -> Result<usize, Stop> {
     let (mut times, mut losses, mut broken) = (Vec::new(), Vec::new(), Vec::new());
     let (mut most, mut peaks, mut refused) = (0.0f64, [0u32; 3], 0);
     for seed in asked.seed..asked.seed + asked.runs {
@@ -161,6 +238,9 @@
         let played = play(asked, if asked.noise { Shape { killed: 0.0, ..shape } } else { shape })?;
         times.push(service::full_service(&played.slices, &twin.slices, UP));
         losses.push(service::lost(&played.slices, &twin.slices, KILLED, UP));
+        kept.runs.push((shape, true, twin.slices.clone()));
+        kept.runs.push((shape, false, played.slices.clone()));
+        kept.times.push((shape, times[times.len() - 1], losses[losses.len() - 1]));
         if asked.slices {
             show(&played, &twin);
         }
@@ -184,25 +264,26 @@
     let mean = |pick: fn(&Lost) -> f64| losses.iter().map(pick).sum::<f64>() / losses.len() as f64;
     let [median, worst] = service::median_and_worst(&times);
     let told = |time: Option<f64>| time.map_or("never".to_owned(), |ms| format!("{:.1}", ms / 1000.0));
-    println!(
-        "{:<12} {:>10} {:>8} {:>6} {:>6}  {:>13} {:>9}  {:>7.0} {:>10.0} {:>6.0}  {:>10} {:>12} {:>11} {:>13} {:>9.2} {:>6}",
+    let whole = |figure: f64| format!("{figure:.0}");
+    let cells = vec![
         format!("{:?}", shape.place).to_lowercase(),
-        shape.forwarders,
-        shape.planners,
-        shape.killed,
+        shape.forwarders.to_string(),
+        shape.planners.to_string(),
+        shape.killed.to_string(),
         format!("{:?}", shape.state).to_lowercase(),
         told(median),
         told(worst),
-        mean(|lost| lost.in_hand),
-        mean(|lost| lost.while_down),
-        mean(|lost| lost.after),
-        peaks[0],
-        peaks[1],
-        peaks[2],
-        refused / asked.runs.max(1) as u32,
-        most,
-        broken.len()
-    );
+        whole(mean(|lost| lost.in_hand)),
+        whole(mean(|lost| lost.while_down)),
+        whole(mean(|lost| lost.after)),
+        peaks[0].to_string(),
+        peaks[1].to_string(),
+        peaks[2].to_string(),
+        (refused / asked.runs.max(1) as u32).to_string(),
+        format!("{most:.2}"),
+        broken.len().to_string(),
+    ];
+    println!("{}", spaced(&cells));
     broken.iter().take(3).for_each(|breach| println!("    {breach}"));
     Ok(broken.len())
 }
--- /dev/null
+++ b/crates/flaxdeck-lab/src/keep.rs
@@ -0,0 +1,92 @@
+//! Raw results as Parquet files, compressed with zstd: a table of named columns, one row a line.
+
+use std::fs::File;
+use std::path::Path;
+use std::sync::Arc;
+
+use parquet::basic::{Compression, ZstdLevel};
+use parquet::data_type::{ByteArray, ByteArrayType, DoubleType, Int64Type};
+use parquet::errors::ParquetError;
+use parquet::file::properties::WriterProperties;
+use parquet::file::writer::SerializedFileWriter;
+use parquet::schema::parser::parse_message_type;
+
+/// One column; all of a table are of one length.
+pub enum Column {
+    Whole(Vec<i64>),
+    Number(Vec<f64>),
+    Text(Vec<String>),
+}
+
+impl Column {
+    fn len(&self) -> usize {
+        match self {
+            Column::Whole(rows) => rows.len(),
+            Column::Number(rows) => rows.len(),
+            Column::Text(rows) => rows.len(),
+        }
+    }
+}
+
+/// Writes a table. The names are words of letters and underscores.
+pub fn write(path: &Path, columns: &[(&str, Column)]) -> Result<(), String> {
+    let rows = columns.first().map_or(0, |(_, column)| column.len());
+    if let Some((name, _)) = columns.iter().find(|(_, column)| column.len() != rows) {
+        return Err(format!("{}: column {name} is not as long as the first", path.display()));
+    }
+    write_columns(path, columns).map_err(|error| format!("{}: {error}", path.display()))
+}
+
+fn write_columns(path: &Path, columns: &[(&str, Column)]) -> Result<(), ParquetError> {
+    let field = |(name, column): &(&str, Column)| match column {
+        Column::Whole(_) => format!("required int64 {name};"),
+        Column::Number(_) => format!("required double {name};"),
+        Column::Text(_) => format!("required binary {name} (UTF8);"),
+    };
+    let fields: Vec<String> = columns.iter().map(field).collect();
+    let schema = Arc::new(parse_message_type(&format!("message rows {{ {} }}", fields.join(" ")))?);
+    let zstd = Compression::ZSTD(ZstdLevel::default());
+    let properties = Arc::new(WriterProperties::builder().set_compression(zstd).build());
+    let mut writer = SerializedFileWriter::new(File::create(path)?, schema, properties)?;
+    let mut group = writer.next_row_group()?;
+    for (_, column) in columns {
+        let Some(mut to) = group.next_column()? else { break };
+        match column {
+            Column::Whole(rows) => to.typed::<Int64Type>().write_batch(rows, None, None)?,
+            Column::Number(rows) => to.typed::<DoubleType>().write_batch(rows, None, None)?,
+            Column::Text(rows) => {
+                let rows: Vec<ByteArray> = rows.iter().map(|text| text.as_str().into()).collect();
+                to.typed::<ByteArrayType>().write_batch(&rows, None, None)?
+            }
+        };
+        to.close()?;
+    }
+    group.close()?;
+    writer.close()?;
+    Ok(())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use parquet::file::reader::{FileReader, SerializedFileReader};
+
+    #[test]
+    fn a_table_is_read_as_it_was_written() {
+        let path = std::env::temp_dir().join(format!("flaxdeck-lab-{}.parquet", std::process::id()));
+        let texts = ["plain", "cold"].map(String::from).to_vec();
+        let columns = [
+            ("run", Column::Whole(vec![1, 2])),
+            ("share", Column::Number(vec![0.5, 1.0])),
+            ("world", Column::Text(texts)),
+        ];
+        write(&path, &columns).unwrap();
+        let reader = SerializedFileReader::new(File::open(&path).unwrap()).unwrap();
+        let rows: Vec<String> =
+            reader.get_row_iter(None).unwrap().map(|row| row.unwrap().to_string()).collect();
+        std::fs::remove_file(&path).unwrap();
+        assert_eq!(rows, [r#"{run: 1, share: 0.5, world: "plain"}"#, r#"{run: 2, share: 1, world: "cold"}"#]);
+        let uneven = [("a", Column::Whole(vec![1])), ("b", Column::Whole(vec![]))];
+        assert!(write(&path, &uneven).is_err_and(|why| why.contains("column b")));
+    }
+}
--- a/crates/flaxdeck-lab/src/lib.rs
+++ b/crates/flaxdeck-lab/src/lib.rs
@@ -1,5 +1,7 @@
-//! Experiments over the model of the fleet: two shapes played in pairs until the answer is clear or the time is up.
+//! Experiments: over the model of the fleet, two shapes played in pairs until the answer is clear or the time is up; over
+//! real processes, how service comes back; and what is kept of either.
 
+pub mod keep;
 mod pairs;
 mod sequence;
 pub mod service;
