No cut-off by a mean that was never learnt: silent hand-offs are taken back, slow ones run on

Cause: without second copies each reissuable hand-off got a time-out of twice its expected time. To blame: 'cut' in hand_off, and mean_work that only told sizes moved. Change: overdue hand-offs are taken back where their host or source is silent, the rest runs to the hard stop; the mean follows hits at caches that are not full; caches are looked at in turn every 400 ms where only that tells their load. On sockets a hand-off taken back is reported as ended (a pull waited for it for ever; nothing reached that yet).

--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -148,7 +148,11 @@
                 seat.brain.wake(now)
             }
             "Dropped" => seat.brain.client_left(now, PullId(fields.whole("request_id")?)),
-            // Streamed answers, probes and messages are never asked for here: nothing follows from them.
+            "CheckResult" => {
+                let seen = seat.seen(fields)?;
+                seat.brain.seen(now, seen)
+            }
+            // Streamed answers and messages are never asked for here: nothing follows from them.
             _ => return Ok(()),
         };
         encode(who, now, decisions, &mut self.reply);
@@ -204,6 +208,17 @@
         })
     }
 
+    fn seen(&self, fields: &Fields) -> Result<Seen, String> {
+        let values = fields.numbers("stats")?;
+        let value = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
+        Ok(Seen {
+            host: HostId(fields.text("host")?.into()),
+            well: fields.text("reason")? == "S",
+            link: value(self.names.link_at),
+            in_hand: value(self.names.in_hand_at),
+        })
+    }
+
     fn ended(&self, fields: &Fields) -> Result<Ended, String> {
         let values = fields.numbers("stats")?;
         let value = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
@@ -262,6 +277,9 @@
             }
         });
     }
+    for host in decisions.looks {
+        reply.push(json!({"event_type": "Inspect", "who": who, "host": &*host.0}));
+    }
     if let Some(at) = decisions.wake {
         reply.push(json!({"event_type": "WakeMe", "who": who, "after_ms": at.since(now).ms(), "ctx": 0}));
     }
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -153,7 +153,16 @@
     fn take_back(&mut self, leg: Leg) {
         if let Some(at) = self.out.iter().position(|out| out.leg == leg) {
             count(Count::taken_back);
-            self.out.remove(at).task.abort();
+            let Out { host, sent, task, .. } = self.out.remove(at);
+            task.abort();
+            // Guards against a pull that waits for ever for the end of what it took back itself.
+            if self.reply.is_some() {
+                let took = Span::of_ms(sent.elapsed().as_secs_f64() * 1000.0);
+                let (pull, ending, told) = (self.id, Ending::Cancelled, Told::Nothing);
+                let (waited, link, in_hand, closed) = (None, None, None, false);
+                let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand };
+                self.router.report(News::Ended(ended));
+            }
         }
     }
 
--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -269,6 +269,19 @@
     wait_for("given up at the silent host", || !world.caches[0].heard("never_mind").is_empty());
 }
 
+#[test]
+fn without_second_copies_a_pull_is_taken_back_from_a_silent_host_and_finished_elsewhere() {
+    let world = World::with(2, |config| config["settings"]["allowed"]["may_duplicate"] = false.into());
+    world.caches[0].set(Manner::Silent);
+    let mut client = world.client();
+    let answers = pull_together(&mut client, 16, 2400);
+    for n in 0..16 {
+        assert!(answers.iter().any(|answer| finished(answer, &key(n))), "{n}");
+    }
+    assert!(!world.caches[0].heard("want").is_empty(), "some belong to the silent host");
+    wait_for("given up there", || !world.caches[0].heard("never_mind").is_empty());
+}
+
 #[test]
 fn a_pull_taken_back_gets_no_answer_and_its_late_one_is_nobodys() {
     let world = World::start(1);
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -13,7 +13,7 @@
     pub workloads: Vec<String>,
     pub zones: Vec<String>,
     pub kinds: Vec<String>,
-    /// The values of a load report, in their order; empty where answers hold none.
+    /// The values of a load report, in their order; empty where there is none.
     pub report: Vec<String>,
     /// Where in a load report the fullness of the location's link and the pulls in hand stand.
     pub link_at: Option<usize>,
@@ -91,9 +91,13 @@
     let zone = place(&zones, zone).ok_or_else(|| format!("zone {zone} is not among the zones"))?;
     let report = settings.get("stats").map(|stats| Fields::of(stats, "stats")).transpose()?;
     let report = match report {
-        Some(stats) if stats.text_or_none("via")? == Some("inline") => stats.texts("fields")?,
+        Some(stats) if stats.text_or_none("via")?.is_some_and(|via| via != "off") => stats.texts("fields")?,
         _ => Vec::new(),
     };
+    let told_by_looks = match settings.get("stats") {
+        Some(stats) => Fields::of(stats, "stats")?.text_or_none("via")? == Some("on_probe"),
+        None => false,
+    };
     let (parted, through) = (family.flags("class_parts")?, family.flags("goes_through")?);
     let fresh = family.numbers("max_age_ms")?;
     let (mut names, mut workloads) = (Vec::new(), Vec::new());
@@ -131,6 +135,7 @@
         joins: family.flag_or_false("collapses")?,
         client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
         purge_settles: family.span_or_zero("purge_settles_ms")?,
+        may_look: told_by_looks && allowed.flag_or_false("probes")?,
     };
     let names = Names {
         workloads: names,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -44,6 +44,7 @@
 const AGAIN: Span = Span::from_ms(60); // first pause after a refusal: lets short queues drain
 const MOST_DOUBLED: u32 = 4; // doublings of that pause: then it is near a second
 const COME_BACK: Span = Span::from_ms(300); // named to bounced clients: a few of the transfers in hand
+const LOOK: Span = Span::from_ms(400); // between looks at hosts that tell their load only so: a report's age
 const TIDY: Span = Span::from_ms(1000); // the periodic timer: memory only, so a second will do
 const REMEMBER: Span = Span::from_ms(60_000); // how long an object counts as seen: several cache lifetimes
 const TICKS_EARLY: f64 = 3.0; // ticks before the hard stop at which a pull gets its answer: one may slip
@@ -95,6 +96,10 @@
         let fresh = Some(fresh).filter(|fresh| *fresh > Span::ZERO);
         Kind { promised, stretch, repeats, goes_through, parted, fresh, mean_work, samples }
     }
+    fn learn(&mut self, work: f64) {
+        self.samples = (self.samples + 1.0).min(SETTLED);
+        self.mean_work += (work - self.mean_work) / self.samples;
+    }
     /// What a pull weighs against a cold cache: the mean, or more until that is known.
     fn cost(&self, work: f64) -> f64 {
         if self.samples < SETTLED { self.mean_work.max(work) } else { self.mean_work }
@@ -122,7 +127,8 @@
     wished: Cell<f64>,              // what it turned away for want of that since the last look
     sampled: [Option<f64>; 2],      // the last own samples, and when they and the last hearsay were taken
     measured: [Option<Time>; 2],
-    good: Option<Time>, // the last own success and failure
+    looked: Option<Time>, // when it was last asked for its load
+    good: Option<Time>,   // the last own success and failure
     bad: Option<Time>,
 }
 
@@ -133,11 +139,11 @@
         let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, Vec::new());
         let (window, heard, wished) = (WINDOW, now, Cell::new(0.0));
         let (measures, sampled, measured, beaten) = ([None; 2], [None; 2], [None; 2], [0; 2]);
-        let (others, elsewhere, share, good, bad) = (None, None, None, None, None);
+        let (others, elsewhere, share, good, bad, looked) = (None, None, None, None, None, None);
         #[rustfmt::skip]
         let host = Host {
             line, hash, reputation, next_trial, heard, measures, beaten, in_hand, others, window, spent,
-            share, elsewhere, wished, sampled, measured, good, bad,
+            share, elsewhere, wished, sampled, measured, looked, good, bad,
         };
         host
     }
@@ -209,6 +215,7 @@
     vouched: bool, // the list of hosts can be trusted
     by_right: f64, // the part of the equal share that holds where none was told
     kb_per_ms: f64,
+    next_look: Time,
     hosts: BTreeMap<HostId, Host>,
     pulls: BTreeMap<PullId, Held>,
     purges: Vec<(Option<ObjectId>, GroupId, Time)>,
@@ -264,6 +271,7 @@
             by_right: 1.0,
             direct: terms.direct,
             kb_per_ms: terms.client_kb_per_s / 1000.0,
+            next_look: if terms.may_look { now + LOOK } else { Time::NEVER },
             hosts: BTreeMap::new(),
             pulls: BTreeMap::new(),
             purges: Vec::new(),
@@ -304,10 +312,7 @@
         pull.hard_stop = pull.hard_stop.min(self.ends);
         let kind = &mut self.kinds[pull.workload.0];
         let told = pull.size_kb.filter(|_| self.kb_per_ms > 0.0).map(|kb| kb / self.kb_per_ms);
-        if let Some(work) = told {
-            kind.samples = (kind.samples + 1.0).min(SETTLED);
-            kind.mean_work += (work - kind.mean_work) / kind.samples;
-        }
+        told.into_iter().for_each(|work| kind.learn(work));
         let work = told.unwrap_or(kind.mean_work);
         // A client that asks again waits since its first try, so an old promise holds for the new pull too.
         let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
@@ -428,7 +433,11 @@
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
         }
-        let kind = &self.kinds[held.pull.workload.0];
+        let untold = held.pull.size_kb.is_none() && ended.told == Told::Held;
+        let kind = &mut self.kinds[held.pull.workload.0];
+        if untold && self.hosts.get(&out.host).is_some_and(|host| host.in_hand <= host.line.weight) {
+            kind.learn(ended.took.ms());
+        }
         let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
         self.agenda.insert(ended.pull);
         self.release(&out, &ended, cached);
@@ -526,19 +535,44 @@
             self.purges.retain(|(.., made)| now.since(*made) < self.settles + TIDY);
             self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
         }
+        if now >= self.next_look {
+            self.look();
+        }
         while self.due.first().is_some_and(|(at, _)| *at <= now) {
             self.agenda.extend(self.due.pop_first().map(|(_, id)| id));
         }
         while let Some(id) = self.agenda.pop_first() {
             while RULES.iter().any(|rule| rule(self, id)) {}
         }
-        let next = self.due.first().map_or(self.next_tidy, |(at, _)| self.next_tidy.min(*at));
+        let timer = self.next_tidy.min(self.next_look);
+        let next = self.due.first().map_or(timer, |(at, _)| timer.min(*at));
         if self.wake_at.is_none_or(|at| at <= now || next < at) {
             (self.out.wake, self.wake_at) = (Some(next), Some(next));
         }
         std::mem::take(&mut self.out)
     }
 
+    // Asks the cache of this location that was looked at longest ago for its load.
+    fn look(&mut self) {
+        self.next_look = self.now + LOOK * self.chance.random_range(0.9..1.1);
+        let mine = self.hosts.values().filter(|h| self.mine(h) && h.line.standing == Standing::InService);
+        let Some(id) = mine.min_by_key(|host| (host.looked, host.hash)).map(|h| h.line.host.clone()) else {
+            return;
+        };
+        self.hosts.get_mut(&id).into_iter().for_each(|host| host.looked = Some(self.now));
+        self.out.looks.push(id);
+    }
+
+    /// A host that was looked at has told its load, or nothing.
+    pub fn seen(&mut self, now: Time, seen: Seen) -> Decisions {
+        self.now = now;
+        self.link = seen.link.map(|link| (link, now)).or(self.link);
+        if let Some(host) = self.hosts.get_mut(&seen.host) {
+            host.others = seen.in_hand.map(|pulls| ((pulls - host.in_hand).max(0.0), now)).or(host.others);
+        }
+        self.settle(now)
+    }
+
     fn close(&mut self, id: PullId) {
         if let Some(held) = self.pulls.get_mut(&id) {
             held.done = true;
@@ -623,6 +657,10 @@
         let mute = |(id, since)| self.hosts.get(id).filter(|host| host.heard <= since).map(|_| id.clone());
         let culprit = [(&out.host, lately), (&out.source, out.sent)].into_iter().find_map(mute);
         out.silent = Some(culprit.is_some());
+        let single = self.cancels && !self.duplicates;
+        if single && culprit.is_some() && self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable {
+            self.out.cancels.push(Cancel { pull: id, leg: out.leg });
+        }
         held.tried.extend(culprit.clone());
         culprit.iter().for_each(|culprit| self.blame(culprit, PENALTY));
         true
@@ -791,7 +829,7 @@
         let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
         let left = held.pull.hard_stop.since(now);
-        let cut = kind.repeats == Repeats::Reissuable && !self.duplicates;
+        let cut = kind.repeats == Repeats::Reissuable && !self.duplicates && !self.cancels;
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -134,7 +134,8 @@
 
     /// Puts each decision in its pull's line; gives the pulls that have a step to pick.
     fn sort(&mut self, decisions: Decisions) -> Vec<PullId> {
-        let Decisions { cancels, hand_offs, finals, wake } = decisions;
+        // On sockets the platform's protocol has no word for a look, so none is asked for there.
+        let Decisions { cancels, hand_offs, finals, looks: _, wake } = decisions;
         let mut named = Vec::new();
         for cancel in cancels {
             named.extend(self.add(cancel.pull, |_| Step::TakeBack(cancel.leg)));
--- a/src/words.rs
+++ b/src/words.rs
@@ -155,6 +155,8 @@
     pub joins: bool,
     pub client_kb_per_s: f64,
     pub purge_settles: Span,
+    /// Hosts may be looked at, and tell their load only then.
+    pub may_look: bool,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -265,6 +267,17 @@
     pub in_hand: Option<f64>,
 }
 
+/// What a host told when it was looked at.
+#[derive(Clone, Debug)]
+pub struct Seen {
+    pub host: HostId,
+    /// It answered.
+    pub well: bool,
+    /// As in [`Ended`].
+    pub link: Option<f64>,
+    pub in_hand: Option<f64>,
+}
+
 /// Take a hand-off back.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Cancel {
@@ -305,6 +318,8 @@
     pub cancels: Vec<Cancel>,
     pub hand_offs: Vec<HandOff>,
     pub finals: Vec<Final>,
+    /// Ask these hosts for their load; what they tell is due as [`Seen`].
+    pub looks: Vec<HostId>,
     /// Call `wake` at this time; earlier wishes stand.
     pub wake: Option<Time>,
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -530,3 +530,66 @@
     facade.tick(late);
     assert!(facade.due().is_some_and(|due| due > late), "the brain has named its next time to the report");
 }
+
+/// A location where no second copy may be out, and no pull tells its size.
+fn single() -> Terms {
+    Terms { may_duplicate: false, ..terms() }
+}
+
+#[test]
+fn without_second_copies_a_silent_cache_loses_its_pull_and_a_slow_one_keeps_it() {
+    let mut fake = Fake::new(single(), usual());
+    let at = fake.pull(0, 1);
+    let cache = fake.sent[at].1.host.clone();
+    fake.pass(1500);
+    assert_eq!(fake.sent.len(), 1, "never two at once");
+    assert_eq!(fake.cancels, vec![Cancel { pull: fake.sent[at].1.pull, leg: Leg(0) }]);
+    fake.end(at, Ending::Cancelled, Told::Nothing, 0);
+    assert_ne!(fake.sent[1].1.host, cache, "at once, elsewhere");
+
+    let mut fake = Fake::new(single(), usual());
+    let at = fake.pull(0, 1);
+    assert!(fake.sent[at].1.allow >= Span::from_ms(3900), "no time-out cuts off what is only large");
+    for _ in 0..30 {
+        fake.pass(100);
+        fake.fill(1, 100.0, Told::Filled, |_| 20);
+    }
+    assert_eq!(fake.cancels, [], "its cache and its source go on answering others");
+}
+
+#[test]
+fn where_no_size_is_told_the_mean_is_learnt_from_hits() {
+    let sent_at_once = |took: u64| {
+        let wide = |line: Listed| Listed { weight: 20.0, ..line };
+        let mut fake = Fake::new(single(), usual().into_iter().map(wide).collect());
+        for object in 0..200 {
+            let at = fake.untold(object);
+            fake.end_after(at, Ending::Answered, Told::Held, took);
+        }
+        fake.list(vec![Listed { started: Some(fake.now), ..wide(line("a", Role::Cache)) }]);
+        fake.pass(2100);
+        (0..80).for_each(|object| _ = fake.untold(object));
+        fake.sent[200..].iter().filter(|(_, sent)| sent.host == host("a")).count()
+    };
+    let (small, large) = (sent_at_once(50), sent_at_once(800));
+    assert!(2 * small > 3 * large, "a cold cache gets {small} small or {large} large ones");
+}
+
+#[test]
+fn caches_that_tell_their_load_only_when_looked_at_are_looked_at_in_turn() {
+    let mut fake = Fake::new(Terms { may_look: true, ..terms() }, usual());
+    fake.pass(2200);
+    assert!((4..7).contains(&fake.looks.len()), "{:?}", fake.looks);
+    assert!(fake.looks.windows(2).all(|pair| pair[0] != pair[1]), "each in its turn");
+    assert!(fake.looks.iter().all(|id| [host("a"), host("bb")].contains(id)), "no parent, not the origin");
+    fake.seen("a", true, Some(30.0));
+    let at = fake.pull(0, 1);
+    assert_eq!(fake.sent[at].1.source, fake.sent[at].1.host, "the link is full: only a hit is asked for");
+    fake.pass(2100);
+    let at = fake.pull(0, 2);
+    assert_ne!(fake.sent[at].1.source, fake.sent[at].1.host, "an old report says nothing");
+
+    let mut fake = Fake::new(terms(), usual());
+    fake.pass(2200);
+    assert_eq!(fake.looks, [], "answers tell the load here");
+}
