The shared hash draws for each part of an object by itself

The design page names the object; caches keep each part by itself, so the part is what they are asked for. Change: draw() takes the part too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -234,9 +234,10 @@
     x ^ (x >> 31)
 }
 
-/// What the shared hash draws for an object at a host, over 0 to 1; the higher, the more it belongs there.
-fn draw(host: &Host, object: ObjectId) -> f64 {
-    ((mix(mix(object.0) ^ host.hash) >> 11) as f64 + 1.0) / (1u64 << 53) as f64
+/// What the shared hash draws for a part of an object at a host, over 0 to 1; the higher, the more it belongs there.
+// Guards against one cache being leant on for all parts of an object that is much asked for.
+fn draw(host: &Host, pull: &Pull) -> f64 {
+    ((mix(mix(pull.object.0 ^ mix(pull.part)) ^ host.hash) >> 11) as f64 + 1.0) / (1u64 << 53) as f64
 }
 
 impl Brain {
@@ -728,10 +729,10 @@
     }
 
     /// Hosts of a role in the order of the shared hash (weighted rendezvous).
-    fn in_hash_order(&self, role: Role, object: ObjectId) -> Vec<&Host> {
+    fn in_hash_order(&self, role: Role, pull: &Pull) -> Vec<&Host> {
         let near = |host: &Host| role != Role::Cache || self.mine(host);
         let mine = |h: &&Host| h.is(role) && near(h) && h.line.standing == Standing::InService;
-        let score = |host: &Host| -draw(host, object).ln() / host.line.weight.max(0.01);
+        let score = |host: &Host| -draw(host, pull).ln() / host.line.weight.max(0.01);
         let mut order: Vec<&Host> = self.hosts.values().filter(mine).collect();
         order.sort_by(|a, b| score(a).total_cmp(&score(b)));
         order
@@ -751,7 +752,7 @@
         let trials = kind.repeats == Repeats::Reissuable && held.legs == 0;
         let fits = |host: &Host| self.in_scope(held, host) && self.cold_room(host, kind.cost(held.work));
         let up = |host: &Host| host.reputation >= FLOOR || (trials && host.next_trial <= self.now);
-        let mut order = self.in_hash_order(Role::Cache, held.pull.object);
+        let mut order = self.in_hash_order(Role::Cache, &held.pull);
         self.wish(order.first(), kind.cost(held.work));
         order.retain(|host| up(host) && !held.tried.contains(&host.line.host) && fits(host));
         let least = order.iter().map(|host| self.load(host)).min_by(f64::total_cmp)?;
@@ -763,7 +764,7 @@
         // after another by what the hash draws, the same ones at every dispatcher.
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            let stays = STAYS[0] + (STAYS[1] - STAYS[0]) * draw(host, held.pull.object);
+            let stays = STAYS[0] + (STAYS[1] - STAYS[0]) * draw(host, &held.pull);
             load <= (if held.work < left { FULL * stays } else { LATE_FULL })
                 || (load <= most && load * held.work < left)
         };
@@ -779,7 +780,7 @@
         let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL;
         let trial = |host: &&&Host| held.legs == 0 && host.next_trial <= self.now;
         let origin = self.origin();
-        let mut parents = self.in_hash_order(Role::Parent, held.pull.object);
+        let mut parents = self.in_hash_order(Role::Parent, &held.pull);
         self.wish(parents.first(), held.work);
         parents.retain(new);
         let first = parents.first().copied();
