Where no size is told latency decides which source is the better one

Cause: a parted object counted as large even where no size is told; then no bandwidth was ever sampled, so no parent could be beaten and no origin left.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -105,7 +105,7 @@
         if self.samples < SETTLED { self.mean_work.max(work) } else { self.mean_work }
     }
     fn large(&self, pull: &Pull) -> bool {
-        self.parted || pull.size_kb.is_some_and(|kb| kb >= LARGE_KB)
+        pull.size_kb.is_some_and(|kb| self.parted || kb >= LARGE_KB)
     }
 }
 
