Pulls that tell no size stop sooner on a full link, workloads of large ones first

Cause: on a full link large pulls stop sooner and small ones go on, by their size over their workload's mean. Change: an untold size counts as large (most bytes are in few), scaled by the mean of all pulls over its workload's.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -215,6 +215,7 @@
     vouched: bool, // the list of hosts can be trusted
     by_right: f64, // the part of the equal share that holds where none was told
     kb_per_ms: f64,
+    mean_work: f64, // of all pulls
     next_look: Time,
     hosts: BTreeMap<HostId, Host>,
     pulls: BTreeMap<PullId, Held>,
@@ -272,6 +273,7 @@
             by_right: 1.0,
             direct: terms.direct,
             kb_per_ms: terms.client_kb_per_s / 1000.0,
+            mean_work: 0.0,
             next_look: if terms.may_look { now + LOOK } else { Time::NEVER },
             hosts: BTreeMap::new(),
             pulls: BTreeMap::new(),
@@ -315,6 +317,8 @@
         let told = pull.size_kb.filter(|_| self.kb_per_ms > 0.0).map(|kb| kb / self.kb_per_ms);
         told.into_iter().for_each(|work| kind.learn(work));
         let work = told.unwrap_or(kind.mean_work);
+        let settled = kind.samples.max(1.0);
+        self.mean_work += (work - self.mean_work) / settled;
         // A client that asks again waits since its first try, so an old promise holds for the new pull too.
         let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
         let promised = owed.unwrap_or(now + kind.promised + Span::of_ms(work * kind.stretch));
@@ -724,6 +728,8 @@
     // full only hits are asked for, and known misses bounce, the large ones first.
     fn link_open(&self, held: &Held, mean: f64) -> bool {
         let late = held.promised.since(self.now).ms() < held.work;
+        // Of what tells no size most bytes are in a few large ones, so it stops sooner, by its workload's mean.
+        let mean = if held.pull.size_kb.is_some() { mean } else { self.mean_work / LINK_BIAS };
         let bias = if late { 0.0 } else { mean / held.work.max(1.0) }.clamp(1.0 / LINK_BIAS, LINK_BIAS);
         self.link.is_none_or(|(full, at)| full < LINK_FULL * bias || self.now.since(at) >= OLD)
     }
