The link's fullness is guessed from how long fills take, where no report tells it

A fill runs up to 2 to 4 times as fast as its answer, so an answer filled takes its sending time unless the link holds it up. Change: the time after the first byte over the sending time, averaged with the design's weight, stands in for the report (twice as long counts as full); a report heard once ends that. Should also hold where reports stop; may hurt where a cache itself is slow.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -216,6 +216,7 @@
     by_right: f64, // the part of the equal share that holds where none was told
     kb_per_ms: f64,
     mean_work: f64, // of all pulls
+    link_told: bool,
     next_look: Time,
     hosts: BTreeMap<HostId, Host>,
     pulls: BTreeMap<PullId, Held>,
@@ -274,6 +275,7 @@
             direct: terms.direct,
             kb_per_ms: terms.client_kb_per_s / 1000.0,
             mean_work: 0.0,
+            link_told: false,
             next_look: if terms.may_look { now + LOOK } else { Time::NEVER },
             hosts: BTreeMap::new(),
             pulls: BTreeMap::new(),
@@ -444,8 +446,11 @@
             kind.learn(ended.took.ms());
         }
         let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
+        let slow = ended.waited.map(|waited| ended.took.less(waited).ms() / held.work.max(1.0));
+        let fill = cached && matches!(ended.told, Filled | FilledThroughOrigin) && held.pull.size_kb.is_some();
         self.agenda.insert(ended.pull);
         self.release(&out, &ended, cached);
+        slow.filter(|_| fill).into_iter().for_each(|slow| self.guess_link(slow));
         if full {
             self.hosts.get_mut(&out.source).into_iter().for_each(|parent| parent.widen(false));
         } else {
@@ -457,7 +462,7 @@
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended, cached: bool) {
         let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
-        self.link = ended.link.filter(|_| cached).map(|link| (link, self.now)).or(self.link);
+        self.hear_link(ended.link.filter(|_| cached));
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
             host.leave();
@@ -571,13 +576,27 @@
     /// A host that was looked at has told its load, or nothing.
     pub fn seen(&mut self, now: Time, seen: Seen) -> Decisions {
         self.now = now;
-        self.link = seen.link.map(|link| (link, now)).or(self.link);
+        self.hear_link(seen.link);
         if let Some(host) = self.hosts.get_mut(&seen.host) {
             host.others = seen.in_hand.map(|pulls| ((pulls - host.in_hand).max(0.0), now)).or(host.others);
         }
         self.settle(now)
     }
 
+    fn hear_link(&mut self, link: Option<f64>) {
+        self.link_told |= link.is_some();
+        self.link = link.map(|link| (link, self.now)).or(self.link);
+    }
+
+    // Guards against a full link that no report tells of: a fill outruns its answer unless the link holds it up.
+    fn guess_link(&mut self, slow: f64) {
+        let fresh = self.link.filter(|(_, at)| self.now.since(*at) < OLD && !self.link_told).map(|(full, _)| full);
+        let full = LINK_FULL * (slow - 1.0).max(0.0);
+        if !self.link_told {
+            self.link = Some((fresh.map_or(full, |old| old + NEW_WEIGHT * (full - old)), self.now));
+        }
+    }
+
     fn close(&mut self, id: PullId) {
         if let Some(held) = self.pulls.get_mut(&id) {
             held.done = true;
