Objects leave parents that grow slow by degrees

Change: a parent's pace (fills' time after the first byte over the sending time, over the cache's own pace) moves objects as a cache's does, beside the quickest parent's.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -253,6 +253,11 @@
     ((mix(mix(pull.object.0 ^ mix(pull.part)) ^ host.hash) >> 11) as f64 + 1.0) / (1u64 << 53) as f64
 }
 
+/// How much of the load at which objects move a host may have until this one does.
+fn stays(host: &Host, pull: &Pull) -> f64 {
+    STAYS[0] + (STAYS[1] - STAYS[0]) * draw(host, pull)
+}
+
 impl Brain {
     /// A new instance; the seed is its only source of chance.
     pub fn start(now: Time, seed: u64, terms: Terms) -> (Brain, Decisions) {
@@ -459,12 +464,15 @@
         let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
         let ratio = ended.took.ms() / held.work.max(1.0);
         let slow = ended.waited.map(|waited| ended.took.less(waited).ms() / held.work.max(1.0));
-        let fill =
-            cached && matches!(ended.told, Filled | FilledThroughOrigin) && held.pull.size_kb.is_some();
+        let sized = held.pull.size_kb.is_some();
         self.agenda.insert(ended.pull);
         let pace = self.hosts.get(&out.host).map_or(1.0, |host| host.pace(now));
         self.release(&out, &ended, cached);
-        slow.filter(|_| fill).into_iter().for_each(|slow| self.guess_link(slow / pace));
+        let filled = cached && matches!(ended.told, Filled | FilledThroughOrigin);
+        if let Some(slow) = slow.filter(|_| filled) {
+            self.hosts.get_mut(&out.source).into_iter().for_each(|source| source.time(now, slow / pace));
+            sized.then(|| self.guess_link(slow / pace));
+        }
         if cached && ended.told == Told::Held && ended.ending == Answered {
             self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.time(now, ratio));
         }
@@ -812,8 +820,7 @@
         // after another by what the hash draws, the same ones at every dispatcher.
         let in_time = |host: &&&Host| {
             let load = self.load(host);
-            let stays = STAYS[0] + (STAYS[1] - STAYS[0]) * draw(host, &held.pull);
-            load <= (if held.work < left { FULL * stays } else { LATE_FULL })
+            load <= (if held.work < left { FULL * stays(host, &held.pull) } else { LATE_FULL })
                 || (load <= most && load * held.work < left)
         };
         order.iter().find(in_time).map(|host| host.line.host.clone())
@@ -825,7 +832,11 @@
         let kind = &self.kinds[held.pull.workload.0];
         let measure = usize::from(kind.large(&held.pull));
         let new = |host: &&Host| !held.tried.contains(&host.line.host) && self.cold_room(host, held.work);
-        let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL;
+        let paces = self.hosts.values().filter(|host| host.is(Role::Parent) && host.usable());
+        let quick = paces.map(|host| host.pace(self.now)).min_by(f64::total_cmp).unwrap_or(1.0);
+        // Guards against parents that grow slow: as from a loaded cache, objects leave one by one.
+        let keeps = |host: &Host| host.pace(self.now) <= quick * FULL * stays(host, &held.pull);
+        let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL && keeps(host);
         let trial = |host: &&&Host| held.legs == 0 && host.next_trial <= self.now;
         let origin = self.origin();
         let mut parents = self.in_hash_order(Role::Parent, &held.pull);
