--- a/src/brain.rs
+++ b/src/brain.rs
@@ -15,7 +15,7 @@
 const LARGE_KB: f64 = 1000.0; // KB; from here bandwidth decides: the page's start
 const NEW_WEIGHT: f64 = 0.2; // share of a new sample in a measure: the page's start
 const MARGIN: f64 = 0.2; // share by which the origin must beat a parent: the page's start
-const PACE_WEIGHT: f64 = 0.1; // of a hit in a cache's pace: sizes that are not told vary by as much as the mean
+const PACE_WEIGHT: f64 = 0.1; // of a hit in a cache's pace: untold sizes vary by as much as their mean
 const SEVERAL: u32 = 4; // fills in a row: long enough that one slow fill decides nothing
 const PENALTY: f64 = 0.3; // share of reputation lost by a failed fill: the page's start
 const FLOOR: f64 = 0.5; // reputation below which a host is out of use: the page's start
@@ -111,6 +111,7 @@
 }
 
 /// A host with its ratings and what this dispatcher has at it.
+#[derive(Default)]
 struct Host {
     line: Listed,
     hash: u64,
@@ -138,17 +139,8 @@
     fn new(line: Listed, now: Time) -> Host {
         let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
         let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
-        let (reputation, next_trial, in_hand, spent) = (1.0, now + TRIAL, 0.0, Vec::new());
-        let (window, heard, wished) = (WINDOW, now, Cell::new(0.0));
-        let (measures, sampled, measured, beaten) = ([None; 2], [None; 2], [None; 2], [0; 2]);
-        let (others, elsewhere, share, good, bad, looked) = (None, None, None, None, None, None);
-        let slow = (1.0, now);
-        #[rustfmt::skip]
-        let host = Host {
-            line, hash, reputation, next_trial, heard, measures, beaten, in_hand, others, window, spent,
-            share, elsewhere, wished, sampled, measured, looked, good, bad, slow,
-        };
-        host
+        let (reputation, next_trial, window, slow) = (1.0, now + TRIAL, WINDOW, (1.0, now));
+        Host { line, hash, reputation, next_trial, window, slow, heard: now, ..Host::default() }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -210,22 +202,15 @@
     born: Time,
     chance: Pcg64Mcg,
     kinds: Vec<Kind>,
-    zone: ZoneId,
     zone_mates: f64,
     pub link: Option<(f64, Time)>, // the location's by the last report, and when that came
     ramps: [Ramp; 2],              // of caches and of parents
     early: Span,
     ends: Time,
-    settles: Span,
     pub come_back: Option<Span>, // also for clients that the caller has no room for
-    most_hand_offs: u32,
-    duplicates: bool,
-    cancels: bool,
-    joins: bool,
-    direct: bool,
-    vouched: bool, // the list of hosts can be trusted
-    by_right: f64, // the part of the equal share that holds where none was told
-    kb_per_ms: f64,
+    terms: Terms,
+    vouched: bool,  // the list of hosts can be trusted
+    by_right: f64,  // the part of the equal share that holds where none was told
     mean_work: f64, // of all pulls
     link_told: bool,
     next_look: Time,
@@ -247,7 +232,7 @@
     x ^ (x >> 31)
 }
 
-/// What the shared hash draws for a part of an object at a host, over 0 to 1; the higher, the more it belongs there.
+/// What the shared hash draws for an object's part at a host, 0 to 1; the higher, the more it belongs there.
 // Guards against one cache being leant on for all parts of an object that is much asked for.
 fn draw(host: &Host, pull: &Pull) -> f64 {
     ((mix(mix(pull.object.0 ^ mix(pull.part)) ^ host.hash) >> 11) as f64 + 1.0) / (1u64 << 53) as f64
@@ -260,7 +245,7 @@
 
 impl Brain {
     /// A new instance; the seed is its only source of chance.
-    pub fn start(now: Time, seed: u64, terms: Terms) -> (Brain, Decisions) {
+    pub fn start(now: Time, seed: u64, mut terms: Terms) -> (Brain, Decisions) {
         let mates = terms.zone_dispatchers.get(terms.zone.0).map_or(1.0, |count| f64::from(*count).max(1.0));
         let ramp = |from, within, factor: f64, dispatchers: f64| {
             let whole = (factor * COLD_USE).min(COLD_MOST);
@@ -269,40 +254,18 @@
         let (all, factor) = (f64::from(terms.dispatchers), terms.parent_overload_factor);
         let caches = ramp(terms.cold_from, terms.warm_within, terms.overload_factor, mates);
         let ramps = [caches, ramp(terms.parent_cold_from, terms.parent_warm_within, factor, all)];
+        let kinds = std::mem::take(&mut terms.workloads).into_iter().map(Kind::new).collect();
+        let come_back = terms.may_name_return.then(|| COME_BACK.min(terms.longest_return));
+        let (early, chance, ends) = (terms.tick * TICKS_EARLY, Pcg64Mcg::seed_from_u64(seed), Time::NEVER);
+        let next_look = if terms.may_look { now + LOOK } else { Time::NEVER };
+        let (link, link_told, vouched, by_right, mean_work) = (None, false, true, 1.0, 0.0);
+        let (hosts, pulls, purges, seen) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), BTreeMap::new());
+        let (owed, due, agenda, wake_at) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new(), None);
+        #[rustfmt::skip]
         let mut brain = Brain {
-            now,
-            born: now,
-            chance: Pcg64Mcg::seed_from_u64(seed),
-            kinds: terms.workloads.into_iter().map(Kind::new).collect(),
-            zone: terms.zone,
-            zone_mates: mates,
-            link: None,
-            ramps,
-            early: terms.tick * TICKS_EARLY,
-            ends: Time::NEVER,
-            settles: terms.purge_settles,
-            come_back: terms.may_name_return.then(|| COME_BACK.min(terms.longest_return)),
-            most_hand_offs: terms.most_hand_offs.max(1),
-            duplicates: terms.may_duplicate,
-            cancels: terms.may_cancel,
-            joins: terms.joins,
-            vouched: true,
-            by_right: 1.0,
-            direct: terms.direct,
-            kb_per_ms: terms.client_kb_per_s / 1000.0,
-            mean_work: 0.0,
-            link_told: false,
-            next_look: if terms.may_look { now + LOOK } else { Time::NEVER },
-            hosts: BTreeMap::new(),
-            pulls: BTreeMap::new(),
-            purges: Vec::new(),
-            seen: BTreeMap::new(),
-            owed: BTreeMap::new(),
-            due: BTreeSet::new(),
-            agenda: BTreeSet::new(),
-            next_tidy: now + TIDY,
-            wake_at: None,
-            out: Decisions::default(),
+            now, born: now, chance, kinds, zone_mates: mates, link, ramps, early, ends, come_back, terms,
+            vouched, by_right, mean_work, link_told, next_look, hosts, pulls, purges, seen, owed, due, agenda,
+            next_tidy: now + TIDY, wake_at, out: Decisions::default(),
         };
         let decisions = brain.settle(now);
         (brain, decisions)
@@ -332,7 +295,10 @@
     pub fn pull(&mut self, now: Time, mut pull: Pull) -> Decisions {
         pull.hard_stop = pull.hard_stop.min(self.ends);
         let kind = &mut self.kinds[pull.workload.0];
-        let told = pull.size_kb.filter(|_| self.kb_per_ms > 0.0).map(|kb| kb / self.kb_per_ms);
+        let told = pull
+            .size_kb
+            .filter(|_| self.terms.client_kb_per_s > 0.0)
+            .map(|kb| kb / self.terms.client_kb_per_s * 1000.0);
         told.into_iter().for_each(|work| kind.learn(work));
         let work = told.unwrap_or(kind.mean_work);
         let settled = kind.samples.max(1.0);
@@ -567,7 +533,7 @@
             self.next_tidy = now + TIDY;
             self.seen.retain(|_, at| now.since(*at) < REMEMBER);
             self.owed.retain(|_, promised| now.since(*promised) < REMEMBER);
-            self.purges.retain(|(.., made)| now.since(*made) < self.settles + TIDY);
+            self.purges.retain(|(.., made)| now.since(*made) < self.terms.purge_settles + TIDY);
             self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
         }
         if now >= self.next_look {
@@ -613,7 +579,7 @@
         self.link = link.map(|link| (link, self.now)).or(self.link);
     }
 
-    // Guards against a full link that no report tells of: a fill outruns its answer unless the link holds it up.
+    // Guards against a full link that no report tells of: a fill outruns its answer unless that holds it up.
     fn guess_link(&mut self, slow: f64) {
         let fresh =
             self.link.filter(|(_, at)| self.now.since(*at) < OLD && !self.link_told).map(|(full, _)| full);
@@ -634,7 +600,8 @@
         let Some(_) = self.pulls.get(&id).filter(|held| held.done) else { return false };
         let held = self.pulls.remove(&id).expect("just seen");
         self.due.remove(&(held.pull.hard_stop - self.early, id));
-        let cancels = held.out.iter().filter(|_| self.cancels).map(|out| Cancel { pull: id, leg: out.leg });
+        let cancels =
+            held.out.iter().filter(|_| self.terms.may_cancel).map(|out| Cancel { pull: id, leg: out.leg });
         self.out.cancels.extend(cancels);
         for host in held.out.iter().flat_map(|out| BTreeSet::from([&out.host, &out.source])) {
             self.hosts.get_mut(host).into_iter().for_each(Host::leave);
@@ -676,7 +643,7 @@
             (Repeats::AtMostOnce, Some(_)) => false,
             (Repeats::Numbered { remembered, .. }, Some(sent)) => self.now + self.early < sent + remembered,
         };
-        self.vouched && held.legs < self.most_hand_offs && allowed
+        self.vouched && held.legs < self.terms.most_hand_offs.max(1) && allowed
     }
 
     fn hand_off_what_waits(&mut self, id: PullId) -> bool {
@@ -711,7 +678,7 @@
         let mute = |(id, since)| self.hosts.get(id).filter(|host| host.heard <= since).map(|_| id.clone());
         let culprit = [(&out.host, lately), (&out.source, out.sent)].into_iter().find_map(mute);
         out.silent = Some(culprit.is_some());
-        let single = self.cancels && !self.duplicates;
+        let single = self.terms.may_cancel && !self.terms.may_duplicate;
         if single && culprit.is_some() && self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable {
             self.out.cancels.push(Cancel { pull: id, leg: out.leg });
         }
@@ -724,7 +691,7 @@
         let Some(held) = self.pulls.get(&id) else { return false };
         let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
         let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent == Some(true));
-        let allowed = self.duplicates && reissuable && silent && self.may_follow(held);
+        let allowed = self.terms.may_duplicate && reissuable && silent && self.may_follow(held);
         allowed && held.pull.hard_stop.since(self.now).ms() > held.work + SLACK.ms() && self.hand_off(id)
     }
 
@@ -771,14 +738,14 @@
     }
 
     fn mine(&self, host: &Host) -> bool {
-        host.is(Role::Cache) && host.line.zone == Some(self.zone)
+        host.is(Role::Cache) && host.line.zone == Some(self.terms.zone)
     }
 
     // Guards against a full link, on which fills outlive their pulls and every miss comes late: while it is
     // full only hits are asked for, and known misses bounce, the large ones first.
     fn link_open(&self, held: &Held, mean: f64) -> bool {
         let late = held.promised.since(self.now).ms() < held.work;
-        // Of what tells no size most bytes are in a few large ones, so it stops sooner, by its workload's mean.
+        // Of what tells no size most bytes are in few large ones, so it stops sooner, by its workload's mean.
         let mean = if held.pull.size_kb.is_some() { mean } else { self.mean_work / LINK_BIAS };
         let bias = if late { 0.0 } else { mean / held.work.max(1.0) }.clamp(1.0 / LINK_BIAS, LINK_BIAS);
         self.link.is_none_or(|(full, at)| full < LINK_FULL * bias || self.now.since(at) >= OLD)
@@ -865,8 +832,8 @@
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
         let idle = self.link.is_some_and(|(full, _)| full < LINK_IDLE) && work < kind.mean_work;
         let lost = !self.hosts.values().any(|h| self.mine(h) && h.usable());
-        let straight = self.direct && (through || lost || (open && idle));
-        let cache = if through && self.direct { None } else { self.pick_cache(held, open) };
+        let straight = self.terms.direct && (through || lost || (open && idle));
+        let cache = if through && self.terms.direct { None } else { self.pick_cache(held, open) };
         let origin = self.origin();
         let up = origin.filter(|origin| origin.usable()).map(|origin| &origin.line.host);
         // Guards against slow sources whose fills take up the caches, and a stopped origin being asked on by
@@ -889,13 +856,13 @@
         let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
         let left = held.pull.hard_stop.since(now);
-        let cut = kind.repeats == Repeats::Reissuable && !self.duplicates && !self.cancels;
+        let cut = kind.repeats == Repeats::Reissuable && !self.terms.may_duplicate && !self.terms.may_cancel;
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
             source: source.clone(),
             allow: if cut { patience.min(left) } else { left },
-            join: self.joins,
+            join: self.terms.joins,
             renew: kind.fresh.is_some() && oldest.is_none(),
             only_held,
             oldest,
--- a/src/words.rs
+++ b/src/words.rs
@@ -88,13 +88,13 @@
 /// A place in [`Terms::zone_dispatchers`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneId(pub usize);
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct CellId(pub u64);
 /// The number of a hand-off within its pull, counted from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Leg(pub u32);
 /// What names a host, the same at every dispatcher; its address need not be.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub struct HostId(pub Rc<str>);
 
 /// Whether a pull may run again.
@@ -159,22 +159,24 @@
     pub may_look: bool,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Role {
+    #[default]
     Cache,
     Parent,
     Origin,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Standing {
     InService,
     Draining,
+    #[default]
     Gone,
 }
 
 /// One line of the list of hosts.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Listed {
     pub host: HostId,
     pub weight: f64,
