A host is silent once two hand-offs there are overdue with no answer between

Cause: one overdue hand-off at a host that had answered nothing for half of its time was enough. Change: each host counts hand-offs found overdue since it was last heard; at two the host with the most is silent (the cache at a tie); until then the overdue one is looked at again after as long. Should hold against any reason that only some pulls are late; a host that hangs is found one pull later.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -118,6 +118,7 @@
     reputation: f64,
     next_trial: Time,
     heard: Time,
+    mute: u32,                  // hand-offs found overdue since then
     measures: [Option<f64>; 2], // latency in ms, bandwidth in KB a ms
     beaten: [u32; 2],           // fills in a row in which the origin beat it by each
     in_hand: f64,
@@ -149,7 +150,7 @@
         self.line.standing == Standing::InService && self.reputation >= FLOOR
     }
     fn praise(&mut self, now: Time, out: &Out) {
-        (self.heard, self.good) = (now, Some(now));
+        (self.heard, self.mute, self.good) = (now, 0, Some(now));
         self.widen(now < out.sent + out.overdue.since(out.sent) * SLOW[usize::from(self.is(Role::Origin))]);
         self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON; // rounds no trial below the floor
     }
@@ -460,7 +461,8 @@
             let others = |pulls: f64| ((pulls - host.in_hand - 1.0).max(0.0), self.now);
             host.others = ended.in_hand.filter(|_| id == &out.host).map(others).or(host.others);
             // Any answer, a failed fill too, shows that a host is not silent.
-            host.heard = if id == &out.host && alive { self.now } else { host.heard };
+            (host.heard, host.mute) =
+                if id == &out.host && alive { (self.now, 0) } else { (host.heard, host.mute) };
             if id != &out.host && matches!(ended.told, Told::Held | Told::Aged | Told::Joined) {
                 host.spent.retain(|(_, pull, leg, _)| (*pull, *leg) != (ended.pull, ended.leg));
                 host.next_trial = if out.trial { self.now } else { host.next_trial };
@@ -675,8 +677,19 @@
             (out.source == out.host).then(|| host.time(self.now, ratio));
         }
         let lately = out.sent + self.now.since(out.sent) * LATELY;
-        let mute = |(id, since)| self.hosts.get(id).filter(|host| host.heard <= since).map(|_| id.clone());
-        let culprit = [(&out.host, lately), (&out.source, out.sent)].into_iter().find_map(mute);
+        let mut muted = Vec::new();
+        for (id, since) in BTreeMap::from([(&out.source, out.sent), (&out.host, lately)]) {
+            let Some(host) = self.hosts.get_mut(id).filter(|host| host.heard <= since) else { continue };
+            host.mute += 1;
+            muted.push((host.mute, id == &out.host, id.clone()));
+        }
+        // Guards against blaming a host for one pull that is large, or for what waits behind another.
+        if muted.iter().all(|(mute, ..)| *mute < 2) && !muted.is_empty() {
+            out.overdue = self.now + out.overdue.since(out.sent);
+            self.due.insert((out.overdue, id));
+            return true;
+        }
+        let culprit = muted.into_iter().max().map(|(.., id)| id);
         out.silent = Some(culprit.is_some());
         let single = self.terms.may_cancel && !self.terms.may_duplicate;
         if single && culprit.is_some() && self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -639,3 +639,19 @@
     let at_a = at.iter().filter(|at| fake.sent[**at].1.host == host("a")).count();
     assert!((4..17).contains(&at_a), "{at_a} of 20 parts at one of two caches");
 }
+
+#[test]
+fn one_overdue_pull_that_nobody_else_waits_behind_proves_no_silence() {
+    let mut fake = Fake::new(single(), usual());
+    let at = fake.pull(0, 1);
+    fake.pass(700);
+    assert_eq!(fake.cancels, [], "it was due after 650 ms, and may be large");
+    let cache = fake.sent[at].1.host.clone();
+    let next = (2..40).find(|object| {
+        fake.pull(0, *object);
+        fake.sent.last().unwrap().1.host == cache
+    });
+    assert!(next.is_some());
+    fake.pass(700);
+    assert!(!fake.cancels.is_empty(), "two that are overdue with no answer between are enough");
+}
