Where only a hit is asked for, a copy past its fresh time will do

Change: such hand-offs name fresh time and grace as the oldest copy; a younger purge still comes before it.

--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -384,6 +384,7 @@
             goes_through,
             parted: false,
             fresh: Span::ZERO,
+            older: Span::ZERO,
         };
         Terms {
             workloads: vec![workload(Repeats::Reissuable, false), workload(Repeats::AtMostOnce, true)],
--- a/crates/flaxdeck-guidance/examples/size.rs
+++ b/crates/flaxdeck-guidance/examples/size.rs
@@ -124,6 +124,7 @@
         goes_through: false,
         parted: false,
         fresh: Span::ZERO,
+        older: Span::ZERO,
     };
     Terms {
         workloads: vec![workload],
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -100,6 +100,7 @@
     };
     let (parted, through) = (family.flags("class_parts")?, family.flags("goes_through")?);
     let fresh = family.numbers("max_age_ms")?;
+    let older = family.numbers("older_by_ms")?;
     let (mut names, mut workloads) = (Vec::new(), Vec::new());
     for (at, class) in settings.rows("request_classes")?.iter().enumerate() {
         let class = Fields::of(class, "a request class")?;
@@ -111,6 +112,7 @@
             goes_through: through.get(at).copied().unwrap_or(false),
             parted: parted.get(at).copied().unwrap_or(false),
             fresh: Span::of_ms(fresh.get(at).copied().unwrap_or(0.0)),
+            older: Span::of_ms(older.get(at).copied().unwrap_or(0.0)),
         });
     }
     let terms = Terms {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -86,16 +86,17 @@
     goes_through: bool,
     parted: bool,
     fresh: Option<Span>,
+    older: Span,
     mean_work: f64,
     samples: f64,
 }
 
 impl Kind {
     fn new(of: Workload) -> Kind {
-        let Workload { promised, stretch, repeats, goes_through, parted, fresh } = of;
+        let Workload { promised, stretch, repeats, goes_through, parted, fresh, older } = of;
         let (mean_work, samples) = (promised.ms() / (1.0 + stretch), 0.0);
         let fresh = Some(fresh).filter(|fresh| *fresh > Span::ZERO);
-        Kind { promised, stretch, repeats, goes_through, parted, fresh, mean_work, samples }
+        Kind { promised, stretch, repeats, goes_through, parted, fresh, older, mean_work, samples }
     }
     fn learn(&mut self, work: f64) {
         self.samples = (self.samples + 1.0).min(SETTLED);
@@ -864,7 +865,9 @@
         let behind = &self.hosts[&source];
         let (past, trial) = (!self.hosts[&host].is(Role::Cache), behind.next_trial <= now);
         let only_held = stopped && behind.is(Role::Parent) && !through;
-        let oldest = self.oldest(&held.pull, kind.fresh);
+        // Where only a hit will do, a copy past its fresh time is worth more than none.
+        let older = if source == host { kind.older } else { Span::ZERO };
+        let oldest = self.oldest(&held.pull, kind.fresh, older);
         let slow = self.load(&self.hosts[&host]).max(1.0);
         let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
         let patience = expected * OVERDUE + SLACK;
@@ -899,12 +902,11 @@
     }
 
     // Guards against purged copies, wherever they lie: no copy from before the youngest purge will do.
-    fn oldest(&self, pull: &Pull, fresh: Option<Span>) -> Option<Span> {
+    fn oldest(&self, pull: &Pull, fresh: Option<Span>, older: Span) -> Option<Span> {
         let group_hit = |group| group == GroupId::ALL || group == pull.group;
         let hit = |object: Option<_>, group| object.map_or(group_hit(group), |it| it == pull.object);
         let hits = self.purges.iter().filter(|(object, group, _)| hit(*object, *group));
-        let made = hits.map(|(.., made)| *made).max()?;
-        let age = self.now.since(made).less(HAIR).max(HAIR);
-        fresh.is_none_or(|fresh| age < fresh).then_some(age)
+        let age = hits.map(|(.., made)| self.now.since(*made).less(HAIR).max(HAIR)).min();
+        age.into_iter().chain(fresh.map(|fresh| fresh + older)).min().filter(|age| Some(*age) != fresh)
     }
 }
--- a/src/words.rs
+++ b/src/words.rs
@@ -128,6 +128,8 @@
     pub parted: bool,
     /// How long a copy is fresh; zero if it is until it is purged.
     pub fresh: Span,
+    /// How much older than that a copy may be where nothing fresh is to be had, at a part of its worth.
+    pub older: Span,
 }
 
 /// What an instance is handed at start.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -37,6 +37,7 @@
         goes_through: repeats == Repeats::AtMostOnce,
         parted: false,
         fresh: Span::ZERO,
+        older: Span::ZERO,
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -655,3 +655,21 @@
     fake.pass(700);
     assert!(!fake.cancels.is_empty(), "two that are overdue with no answer between are enough");
 }
+
+#[test]
+fn where_only_a_hit_will_do_an_ageing_copy_is_taken_but_none_from_before_a_purge() {
+    let (fresh, older) = (Span::from_ms(8000), Span::from_ms(20_000));
+    let ageing = |of: &Workload| Workload { fresh, older, ..of.clone() };
+    let mut fake =
+        Fake::new(Terms { workloads: terms().workloads.iter().map(ageing).collect(), ..terms() }, usual());
+    let at = fake.pull(0, 1);
+    assert_eq!(fake.sent[at].1.oldest, None, "a miss would be filled: the workload's fresh time");
+    fake.end_with(at, Ending::Answered, Told::Held, 0, Some(30.0));
+    let at = fake.pull(0, 2);
+    assert_eq!(fake.sent[at].1.source, fake.sent[at].1.host, "the link is full");
+    assert_eq!(fake.sent[at].1.oldest, Some(Span::from_ms(28_000)));
+    let made = fake.now - Span::from_ms(40);
+    fake.brain.purge(fake.now, Some(ObjectId(3)), GroupId(3), made);
+    let at = fake.pull(0, 3);
+    assert_eq!(fake.sent[at].1.oldest, Some(Span::from_ms(39)));
+}
