A pace holds for 2 s after its last sample before it fades

Cause: fading began at once, so at a sample a second a host six times as slow passed for 2.3 times (0.27 of the excess, by reckoning).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -161,7 +161,7 @@
     }
     // How much longer its hits take; what is left alone for that gets better by and by, to be tried again.
     fn pace(&self, now: Time) -> f64 {
-        1.0 + (self.slow.0 - 1.0) * 0.5f64.powf(now.since(self.slow.1).ms() / OLD.ms())
+        1.0 + (self.slow.0 - 1.0) * 0.5f64.powf(now.since(self.slow.1).less(OLD).ms() / OLD.ms())
     }
     fn time(&mut self, now: Time, ratio: f64) {
         let pace = self.pace(now);
