Fills that parents passed on to the origin time the origin, not the parent

Cause: a parent's pace took in what the origin behind it was slow for, so all parents looked slow together and objects moved for nothing.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -438,7 +438,9 @@
         self.release(&out, &ended, cached);
         let filled = cached && matches!(ended.told, Filled | FilledThroughOrigin);
         if let Some(slow) = slow.filter(|_| filled) {
-            self.hosts.get_mut(&out.source).into_iter().for_each(|source| source.time(now, slow / pace));
+            let origin = self.origin().filter(|_| ended.told == FilledThroughOrigin);
+            let source = origin.map_or(out.source.clone(), |origin| origin.line.host.clone());
+            self.hosts.get_mut(&source).into_iter().for_each(|source| source.time(now, slow / pace));
             sized.then(|| self.guess_link(slow / pace));
         }
         if cached && ended.told == Told::Held && ended.ending == Answered {
@@ -584,12 +586,10 @@
 
     // Guards against a full link that no report tells of: a fill outruns its answer unless that holds it up.
     fn guess_link(&mut self, slow: f64) {
-        let fresh =
-            self.link.filter(|(_, at)| self.now.since(*at) < OLD && !self.link_told).map(|(full, _)| full);
+        let fresh = self.link.filter(|(_, at)| self.now.since(*at) < OLD).map(|(full, _)| full);
         let full = LINK_FULL * (slow - 1.0).max(0.0);
-        if !self.link_told {
-            self.link = Some((fresh.map_or(full, |old| old + NEW_WEIGHT * (full - old)), self.now));
-        }
+        let guess = fresh.map_or(full, |old| old + NEW_WEIGHT * (full - old));
+        self.link = if self.link_told { self.link } else { Some((guess, self.now)) };
     }
 
     fn close(&mut self, id: PullId) {
