--- a/src/brain.rs
+++ b/src/brain.rs
@@ -678,14 +678,15 @@
             (out.source == out.host).then(|| host.time(self.now, ratio));
         }
         let lately = out.sent + self.now.since(out.sent) * LATELY;
+        let enough = if self.terms.may_duplicate { 1 } else { 2 }; // one taken back loses what it has
         let mut muted = Vec::new();
         for (id, since) in BTreeMap::from([(&out.source, out.sent), (&out.host, lately)]) {
             let Some(host) = self.hosts.get_mut(id).filter(|host| host.heard <= since) else { continue };
-            host.mute += 1;
+            host.mute = if enough == 1 { 1 } else { host.mute + 1 };
             muted.push((host.mute, id == &out.host, id.clone()));
         }
         // Guards against blaming a host for one pull that is large, or for what waits behind another.
-        if muted.iter().all(|(mute, ..)| *mute < 2) && !muted.is_empty() {
+        if muted.iter().all(|(mute, ..)| *mute < enough) && !muted.is_empty() {
             out.overdue = self.now + out.overdue.since(out.sent);
             self.due.insert((out.overdue, id));
             return true;
@@ -829,7 +830,8 @@
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
             let clear = origin.filter(|host| host.usable() && host.has_room() && new(host));
-            let usual = parents.iter().find(set).copied().or(clear).or(first);
+            let usual = parents.iter().find(set).copied();
+            let usual = usual.filter(|host| host.has_room()).or(clear).or(usual).or(first);
             // Guards against a few parents left with the fills of all: they refuse, the next would too.
             let failed = held.tried.iter().filter_map(|id| self.hosts.get(id)).any(|h| h.is(Role::Parent));
             out.or(origin.filter(|host| trial(&host))).or(clear.filter(|_| failed)).or(usual)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -673,3 +673,13 @@
     let at = fake.pull(0, 3);
     assert_eq!(fake.sent[at].1.oldest, Some(Span::from_ms(39)));
 }
+
+#[test]
+fn a_fill_whose_parent_has_no_room_goes_to_an_origin_that_has() {
+    let wide = |line: Listed| Listed { weight: 500.0, ..line };
+    let hosts = usual().into_iter().filter(|line| line.host != host("q"));
+    let mut fake = Fake::new(terms(), hosts.map(wide).collect());
+    (0..60).for_each(|object| _ = fake.pull(0, object));
+    let at = |name: &str| fake.sent.iter().filter(|(_, sent)| sent.source == host(name)).count();
+    assert_eq!((at("p"), at("o")), (24, 24), "its window first, then the origin's, then only hits");
+}
