--- a/src/brain.rs
+++ b/src/brain.rs
@@ -170,9 +170,6 @@
     fn has_room(&self) -> bool {
         self.in_hand < self.window
     }
-    fn leave(&mut self) {
-        self.in_hand = (self.in_hand - 1.0).max(0.0);
-    }
 }
 
 struct Out {
@@ -269,7 +266,7 @@
             vouched, by_right, mean_work, link_told, next_look, hosts, pulls, purges, seen, owed, due, agenda,
             next_tidy: now + TIDY, wake_at, out: Decisions::default(),
         };
-        let decisions = brain.settle(now);
+        let decisions = brain.wake(now);
         (brain, decisions)
     }
 
@@ -290,7 +287,7 @@
             }
         }
         self.agenda.extend(self.pulls.keys().copied());
-        self.settle(now)
+        self.wake(now)
     }
 
     /// A client's pull, to be given exactly one final answer.
@@ -303,8 +300,7 @@
             .map(|kb| kb / self.terms.client_kb_per_s * 1000.0);
         told.into_iter().for_each(|work| kind.learn(work));
         let work = told.unwrap_or(kind.mean_work);
-        let settled = kind.samples.max(1.0);
-        self.mean_work += (work - self.mean_work) / settled;
+        self.mean_work += (work - self.mean_work) / kind.samples.max(1.0);
         // A client that asks again waits since its first try, so an old promise holds for the new pull too.
         let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
         let promised = owed.unwrap_or(now + kind.promised + Span::of_ms(work * kind.stretch));
@@ -315,19 +311,20 @@
         self.pulls.insert(id, held);
         self.due.insert((stop, id));
         self.agenda.insert(id);
-        self.settle(now)
+        self.wake(now)
     }
 
     /// A purge of one object, or of a whole group, made at the given time.
     pub fn purge(&mut self, now: Time, object: Option<ObjectId>, group: GroupId, made: Time) -> Decisions {
         self.purges.push((object, group, made));
-        self.settle(now)
+        self.wake(now)
     }
 
     /// The client has left; no answer is owed any more.
     pub fn client_left(&mut self, now: Time, id: PullId) -> Decisions {
-        self.close(id);
-        self.settle(now)
+        self.pulls.get_mut(&id).into_iter().for_each(|held| held.done = true);
+        self.agenda.insert(id);
+        self.wake(now)
     }
 
     /// The process ends at that time: no pull outlasts it.
@@ -337,7 +334,7 @@
             held.pull.hard_stop = held.pull.hard_stop.min(ends);
             self.due.insert((held.pull.hard_stop - self.early, *id));
         }
-        self.settle(now)
+        self.wake(now)
     }
 
     /// What other dispatchers tell, each time all of it that holds. Own word outweighs hearsay of its age.
@@ -364,7 +361,7 @@
             }
         }
         self.agenda.extend(self.pulls.keys().copied());
-        self.settle(now)
+        self.wake(now)
     }
 
     /// What was seen of each host here, for others to hear.
@@ -374,38 +371,27 @@
             let (part, spent) = self.asked(host, now);
             let whole = (ramp.whole * part * host.line.weight * ramp.window.ms()).max(1.0);
             let (right, wished) = (ramp.share / ramp.whole, host.wished.take() / whole);
-            let cold = (part < 1.0 && !host.is(Role::Origin)).then_some(Used {
-                right,
-                spent: spent / whole,
-                wished,
-            });
+            let spent = spent / whole;
+            let cold = (part < 1.0 && !host.is(Role::Origin)).then_some(Used { right, spent, wished });
             let (id, started) = (host.line.host.clone(), host.line.started);
-            let (measures, measured) = (host.sampled, host.measured[0]);
-            let (good, bad, in_hand) = (host.good, host.bad, host.in_hand);
-            Sight { host: id, started, measures, measured, good, bad, in_hand, cold }
+            let (good, bad, in_hand, measured) = (host.good, host.bad, host.in_hand, host.measured[0]);
+            Sight { host: id, started, measures: host.sampled, measured, good, bad, in_hand, cold }
         };
         self.hosts.values().map(sight).collect()
     }
 
-    /// The time asked for in an earlier `Decisions::wake` has come.
-    pub fn wake(&mut self, now: Time) -> Decisions {
-        self.settle(now)
-    }
-
     /// A hand-off has ended.
     pub fn hand_off_ended(&mut self, now: Time, ended: Ended) -> Decisions {
         self.now = now;
-        let well = |origin: &Host| origin.usable() && origin.window >= WINDOW;
-        let origin_well = ended.told == SourceRefused && self.origin().is_some_and(well);
-        let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.settle(now) };
-        let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.settle(now) };
+        let origin_well = self.origin().is_some_and(|host| host.usable() && host.window >= WINDOW);
+        let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.wake(now) };
+        let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.wake(now) };
         let out = held.out.remove(at);
         let lacking = ended.ending == Ending::NoCopy || ended.told == NoPlace;
         held.done |= ended.ending == Ending::Answered || ended.closed;
         held.missed |= lacking;
-        if !ended.ending.never_ran() && held.ran.is_none() {
-            held.ran = Some((out.sent, out.host.clone()));
-        }
+        let ran = (!ended.ending.never_ran()).then(|| (out.sent, out.host.clone()));
+        held.ran = held.ran.take().or(ran);
         // Guards against full parents scattering their objects: one that refuses has not failed. Its pull
         // goes on to the origin only while that is well; another parent would fetch the object there anew.
         let parent = self.hosts.get(&out.source).is_some_and(|host| host.is(Role::Parent));
@@ -424,34 +410,38 @@
             held.not_before = now + AGAIN * f64::from(1 << held.pauses.min(MOST_DOUBLED));
             self.due.insert((held.not_before, ended.pull));
         }
-        let untold = held.pull.size_kb.is_none() && ended.told == Told::Held;
-        let kind = &mut self.kinds[held.pull.workload.0];
-        if untold && self.hosts.get(&out.host).is_some_and(|host| host.in_hand <= host.line.weight) {
-            kind.learn(ended.took.ms());
-        }
-        let large = held.pull.size_kb.filter(|_| kind.large(&held.pull));
-        let ratio = ended.took.ms() / held.work.max(1.0);
-        let slow = ended.waited.map(|waited| ended.took.less(waited).ms() / held.work.max(1.0));
-        let sized = held.pull.size_kb.is_some();
+        let large = held.pull.size_kb.filter(|_| self.kinds[held.pull.workload.0].large(&held.pull));
         self.agenda.insert(ended.pull);
-        let pace = self.hosts.get(&out.host).map_or(1.0, |host| host.pace(now));
-        self.release(&out, &ended, cached);
-        let filled = cached && matches!(ended.told, Filled | FilledThroughOrigin);
-        if let Some(slow) = slow.filter(|_| filled) {
-            let origin = self.origin().filter(|_| ended.told == FilledThroughOrigin);
-            let source = origin.map_or(out.source.clone(), |origin| origin.line.host.clone());
-            self.hosts.get_mut(&source).into_iter().for_each(|source| source.time(now, slow / pace));
-            sized.then(|| self.guess_link(slow / pace));
-        }
-        if cached && ended.told == Told::Held && ended.ending == Answered {
-            self.hosts.get_mut(&out.host).into_iter().for_each(|host| host.time(now, ratio));
+        if cached && ended.ending == Answered {
+            let (work, workload, sized) = (held.work, held.pull.workload, held.pull.size_kb.is_some());
+            self.time(&out, &ended, work.max(1.0), (!sized).then_some(workload));
         }
+        self.release(&out, &ended, cached);
         if full {
             self.hosts.get_mut(&out.source).into_iter().for_each(|parent| parent.widen(false));
         } else {
             self.rate(&out, &ended, large, cached);
         }
-        self.settle(now)
+        self.wake(now)
+    }
+
+    // How much longer than its sending time an answer of a cache took, and what that tells of whom.
+    fn time(&mut self, out: &Out, ended: &Ended, work: f64, untold: Option<WorkloadId>) {
+        let (now, origin) = (self.now, self.origin().map(|origin| origin.line.host.clone()));
+        let Some(cache) = self.hosts.get_mut(&out.host) else { return };
+        let pace = cache.pace(now);
+        if ended.told == Told::Held {
+            cache.time(now, ended.took.ms() / work);
+            let learnt = untold.filter(|_| cache.in_hand <= cache.line.weight);
+            learnt.into_iter().for_each(|workload| self.kinds[workload.0].learn(ended.took.ms()));
+        }
+        let through = origin.filter(|_| ended.told == FilledThroughOrigin);
+        let source = through.or((ended.told == Filled).then(|| out.source.clone()));
+        let slow = ended.waited.map(|waited| ended.took.less(waited).ms() / work / pace);
+        if let (Some(source), Some(slow)) = (source.and_then(|id| self.hosts.get_mut(&id)), slow) {
+            source.time(now, slow);
+            untold.is_none().then(|| self.guess_link(slow));
+        }
     }
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
@@ -460,7 +450,7 @@
         self.hear_link(ended.link.filter(|_| cached));
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
-            host.leave();
+            host.in_hand = (host.in_hand - 1.0).max(0.0);
             let others = |pulls: f64| ((pulls - host.in_hand - 1.0).max(0.0), self.now);
             host.others = ended.in_hand.filter(|_| id == &out.host).map(others).or(host.others);
             // Any answer, a failed fill too, shows that a host is not silent.
@@ -532,7 +522,8 @@
         source.beaten[at] = if best.is_some_and(wins) { (source.beaten[at] + 1).min(SEVERAL) } else { 0 };
     }
 
-    fn settle(&mut self, now: Time) -> Decisions {
+    /// The time asked for in an earlier `Decisions::wake` has come, or a fact that calls for decisions.
+    pub fn wake(&mut self, now: Time) -> Decisions {
         self.now = now;
         if now >= self.next_tidy {
             self.next_tidy = now + TIDY;
@@ -562,11 +553,11 @@
     fn look(&mut self) {
         self.next_look = self.now + LOOK * self.chance.random_range(0.9..1.1);
         let mine = self.hosts.values().filter(|h| self.mine(h) && h.line.standing == Standing::InService);
-        let Some(id) = mine.min_by_key(|host| (host.looked, host.hash)).map(|h| h.line.host.clone()) else {
-            return;
-        };
-        self.hosts.get_mut(&id).into_iter().for_each(|host| host.looked = Some(self.now));
-        self.out.looks.push(id);
+        let next = mine.min_by_key(|host| (host.looked, host.hash)).map(|host| host.line.host.clone());
+        if let Some(host) = next.as_ref().and_then(|id| self.hosts.get_mut(id)) {
+            host.looked = Some(self.now);
+        }
+        self.out.looks.extend(next);
     }
 
     /// A host that was looked at has told its load, or nothing.
@@ -576,7 +567,7 @@
         if let Some(host) = self.hosts.get_mut(&seen.host) {
             host.others = seen.in_hand.map(|pulls| ((pulls - host.in_hand).max(0.0), now)).or(host.others);
         }
-        self.settle(now)
+        self.wake(now)
     }
 
     fn hear_link(&mut self, link: Option<f64>) {
@@ -592,13 +583,6 @@
         self.link = if self.link_told { self.link } else { Some((guess, self.now)) };
     }
 
-    fn close(&mut self, id: PullId) {
-        if let Some(held) = self.pulls.get_mut(&id) {
-            held.done = true;
-            self.agenda.insert(id);
-        }
-    }
-
     fn drop_what_is_done(&mut self, id: PullId) -> bool {
         let Some(_) = self.pulls.get(&id).filter(|held| held.done) else { return false };
         let held = self.pulls.remove(&id).expect("just seen");
@@ -607,7 +591,10 @@
             held.out.iter().filter(|_| self.terms.may_cancel).map(|out| Cancel { pull: id, leg: out.leg });
         self.out.cancels.extend(cancels);
         for host in held.out.iter().flat_map(|out| BTreeSet::from([&out.host, &out.source])) {
-            self.hosts.get_mut(host).into_iter().for_each(Host::leave);
+            self.hosts
+                .get_mut(host)
+                .into_iter()
+                .for_each(|host| host.in_hand = (host.in_hand - 1.0).max(0.0));
         }
         true
     }
@@ -634,7 +621,8 @@
         self.owed.insert((held.pull.object, held.pull.part), held.promised);
         let bounced = Final::Bounced { pull: id, come_back: self.come_back };
         self.out.finals.push(if harmless { bounced } else { Final::Forfeited { pull: id } });
-        self.close(id);
+        self.pulls.get_mut(&id).into_iter().for_each(|held| held.done = true);
+        self.agenda.insert(id);
         true
     }
 
@@ -693,10 +681,9 @@
         }
         let culprit = muted.into_iter().max().map(|(.., id)| id);
         out.silent = Some(culprit.is_some());
-        let single = self.terms.may_cancel && !self.terms.may_duplicate;
-        if single && culprit.is_some() && self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable {
-            self.out.cancels.push(Cancel { pull: id, leg: out.leg });
-        }
+        let again = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable && self.terms.may_cancel;
+        let taken_back = culprit.iter().filter(|_| again && !self.terms.may_duplicate);
+        self.out.cancels.extend(taken_back.map(|_| Cancel { pull: id, leg: out.leg }));
         held.tried.extend(culprit.clone());
         culprit.iter().for_each(|culprit| self.blame(culprit, PENALTY));
         true
@@ -815,7 +802,7 @@
         let measure = usize::from(kind.large(&held.pull));
         let new = |host: &&Host| !held.tried.contains(&host.line.host) && self.cold_room(host, held.work);
         let paces = self.hosts.values().filter(|host| host.is(Role::Parent) && host.usable());
-        let quick = paces.map(|host| host.pace(self.now)).min_by(f64::total_cmp).unwrap_or(1.0);
+        let quick = paces.map(|host| host.pace(self.now)).fold(ADMIT, f64::min);
         // Guards against parents that grow slow: as from a loaded cache, objects leave one by one.
         let keeps = |host: &Host| host.pace(self.now) <= quick * FULL * stays(host, &held.pull);
         let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL && keeps(host);
@@ -871,8 +858,7 @@
         let older = if source == host { kind.older } else { Span::ZERO };
         let oldest = self.oldest(&held.pull, kind.fresh, older);
         let slow = self.load(&self.hosts[&host]).max(1.0);
-        let expected = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms()));
-        let patience = expected * OVERDUE + SLACK;
+        let patience = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms())) * OVERDUE + SLACK;
         let left = held.pull.hard_stop.since(now);
         let cut = kind.repeats == Repeats::Reissuable && !self.terms.may_duplicate && !self.terms.may_cancel;
         self.out.hand_offs.push(HandOff {
