A cache's load is scaled by the share of its capacity that it reports in use

Ruled out: heavy objects (pace 1), cold caches (room was there), the link (open). Change: the report's share in use (utilization, never read so far, in answers and looks alike) scales a cache's load, to a half at least.

--- a/crates/flaxdeck-adapter/src/wire.rs
+++ b/crates/flaxdeck-adapter/src/wire.rs
@@ -213,9 +213,9 @@
         let value = |at: Option<usize>| at.and_then(|at| values.get(at)).copied();
         Ok(Seen {
             host: HostId(fields.text("host")?.into()),
-            well: fields.text("reason")? == "S",
             link: value(self.names.link_at),
             in_hand: value(self.names.in_hand_at),
+            busy: value(self.names.busy_at),
         })
     }
 
@@ -244,6 +244,7 @@
             waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
             link: value(self.names.link_at),
             in_hand: value(self.names.in_hand_at),
+            busy: value(self.names.busy_at),
         })
     }
 }
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -159,8 +159,9 @@
             if self.reply.is_some() {
                 let took = Span::of_ms(sent.elapsed().as_secs_f64() * 1000.0);
                 let (pull, ending, told) = (self.id, Ending::Cancelled, Told::Nothing);
-                let (waited, link, in_hand, closed) = (None, None, None, false);
-                let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand };
+                let (waited, link, in_hand, busy, closed) = (None, None, None, None, false);
+                let ended =
+                    Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand, busy };
                 self.router.report(News::Ended(ended));
             }
         }
@@ -176,7 +177,7 @@
             count(Count::unchanged_of_another);
             self.asked = Rc::new(Asked { holds: None, ..(*self.asked).clone() });
         }
-        let Outcome { ending, body, unchanged, named: _, told, waited, link, in_hand } = outcome;
+        let Outcome { ending, body, unchanged, named: _, told, waited, link, in_hand, busy } = outcome;
         let ending = if other { Ending::Errored } else { ending };
         log::debug!("pull {} leg {} at {}: {ending:?} {told:?} {link:?}", self.id.0, leg.0, host.0);
         if ending == Ending::Answered && self.reply.is_some() {
@@ -184,7 +185,7 @@
         }
         let (pull, closed) = (self.id, self.reply.is_none());
         let took = Span::of_ms(sent.elapsed().as_secs_f64() * 1000.0);
-        let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand };
+        let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand, busy };
         self.router.report(News::Ended(ended));
     }
 }
--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -1059,6 +1059,7 @@
             waited: waited.filter(|_| source != at).map(Span::of_ms),
             link: (cached && answered).then(|| self.link_told[host.zone]),
             in_hand: answered.then_some(host.told),
+            busy: None,
         };
         let decisions = self.forwarders[n].brain.hand_off_ended(time(self.now), ended);
         self.decide(n, decisions);
--- a/crates/flaxdeck-guidance/examples/size.rs
+++ b/crates/flaxdeck-guidance/examples/size.rs
@@ -219,6 +219,7 @@
                 waited: None,
                 link: None,
                 in_hand: None,
+                busy: None,
             };
             brain.hand_off_ended(now, ended);
         }
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -15,9 +15,10 @@
     pub kinds: Vec<String>,
     /// The values of a load report, in their order; empty where there is none.
     pub report: Vec<String>,
-    /// Where in a load report the fullness of the location's link and the pulls in hand stand.
+    /// Where in a load report the fullness of the location's link, the pulls in hand and the share of capacity in use stand.
     pub link_at: Option<usize>,
     pub in_hand_at: Option<usize>,
+    pub busy_at: Option<usize>,
     parent_kind: Option<usize>,
     origin_kind: Option<usize>,
 }
@@ -145,6 +146,7 @@
         kinds: settings.texts("kinds")?,
         link_at: place(&report, "x1"),
         in_hand_at: place(&report, "outstanding"),
+        busy_at: place(&report, "utilization"),
         report,
         parent_kind: kind_place(family.number_or_none("shield_kind")?),
         origin_kind: kind_place(family.number_or_none("source_kind")?),
--- a/crates/flaxdeck-wire/src/lib.rs
+++ b/crates/flaxdeck-wire/src/lib.rs
@@ -68,12 +68,23 @@
     pub waited: Option<Span>,
     pub link: Option<f64>,
     pub in_hand: Option<f64>,
+    pub busy: Option<f64>,
 }
 
 impl Outcome {
     pub fn bare(ending: Ending) -> Outcome {
         let (body, named, told) = (Bytes::new(), None, Told::Nothing);
-        Outcome { ending, body, unchanged: false, named, told, waited: None, link: None, in_hand: None }
+        Outcome {
+            ending,
+            body,
+            unchanged: false,
+            named,
+            told,
+            waited: None,
+            link: None,
+            in_hand: None,
+            busy: None,
+        }
     }
 
     /// Whether it says that the client's copy is the one, of a copy that the client does not hold.
--- a/crates/flaxdeck-wire/src/lines.rs
+++ b/crates/flaxdeck-wire/src/lines.rs
@@ -160,6 +160,7 @@
                         None => {}
                         at if at == names.link_at => outcome.link = number(value),
                         at if at == names.in_hand_at => outcome.in_hand = number(value),
+                        at if at == names.busy_at => outcome.busy = number(value),
                         Some(_) => {}
                     }
                 }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -30,6 +30,7 @@
 const LINK_FULL: f64 = 3.0; // transfers on the location's link over those that fit; a fill outruns an answer
 const LINK_IDLE: f64 = 0.7; // the same up to which pulls without a cache may use it: fills come first
 const LINK_BIAS: f64 = 2.0; // most by which a small pull may go on longer, and a large one must stop sooner
+const IDLE: f64 = 0.5; // least part of a load that counts, however idle its host reports to be
 const OLD: Span = Span::from_ms(2000); // age at which a report says nothing more
 const COLD_USE: f64 = 0.8; // share of the fall multiple that may be used: chance and late news take the rest
 const COLD_MOST: f64 = 1.6; // times its present capacity that a cold host is asked for: more is only queued
@@ -123,8 +124,9 @@
     measures: [Option<f64>; 2], // latency in ms, bandwidth in KB a ms
     beaten: [u32; 2],           // fills in a row in which the origin beat it by each
     in_hand: f64,
+    busy: Option<(f64, Time)>, // the share of its capacity in use by its last report
     others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
-    window: f64, // how many hand-offs may be out at it at once, as a source or past the caches
+    window: f64,               // how many hand-offs may be out at it at once, as a source or past the caches
     spent: Vec<(Time, PullId, Leg, f64)>,
     elsewhere: Option<(f64, Time)>, // what others have out there, by their own word
     share: Option<f64>,             // of a cold host's whole, by what others left to this dispatcher
@@ -167,6 +169,10 @@
         let pace = self.pace(now);
         self.slow = (pace + PACE_WEIGHT * (ratio.clamp(1.0, ADMIT) - pace), now);
     }
+    fn report(&mut self, now: Time, in_hand: Option<f64>, busy: Option<f64>) {
+        self.others = in_hand.map(|pulls| ((pulls - self.in_hand).max(0.0), now)).or(self.others);
+        self.busy = busy.map(|busy| (busy, now)).or(self.busy);
+    }
     fn has_room(&self) -> bool {
         self.in_hand < self.window
     }
@@ -272,9 +278,8 @@
 
     /// Lines of the list of hosts; with the whole list, what it leaves out is gone.
     pub fn list(&mut self, now: Time, coverage: Coverage, lines: Vec<Listed>) -> Decisions {
-        for host in self.hosts.values_mut().filter(|_| coverage == Coverage::Whole) {
-            host.line.standing = Standing::Gone; // unless a line says otherwise
-        }
+        let left_out = self.hosts.values_mut().filter(|_| coverage == Coverage::Whole);
+        left_out.for_each(|host| host.line.standing = Standing::Gone); // unless a line says otherwise
         for line in lines {
             let known = self.hosts.entry(line.host.clone()).or_insert_with(|| Host::new(line.clone(), now));
             if known.line.started != line.started {
@@ -356,9 +361,7 @@
                 host.measured[1] = hint.measured;
                 (0..2).for_each(|at| self.weigh(&hint.host, at, hint.measures[at]));
             }
-            if down && !out {
-                self.cut(&hint.host, 1.0);
-            }
+            (down && !out).then(|| self.cut(&hint.host, 1.0));
         }
         self.agenda.extend(self.pulls.keys().copied());
         self.wake(now)
@@ -417,11 +420,8 @@
             self.time(&out, &ended, work.max(1.0), (!sized).then_some(workload));
         }
         self.release(&out, &ended, cached);
-        if full {
-            self.hosts.get_mut(&out.source).into_iter().for_each(|parent| parent.widen(false));
-        } else {
-            self.rate(&out, &ended, large, cached);
-        }
+        self.hosts.get_mut(&out.source).filter(|_| full).into_iter().for_each(|parent| parent.widen(false));
+        (!full).then(|| self.rate(&out, &ended, large, cached));
         self.wake(now)
     }
 
@@ -450,9 +450,8 @@
         self.hear_link(ended.link.filter(|_| cached));
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
+            (id == &out.host).then(|| host.report(self.now, ended.in_hand, ended.busy));
             host.in_hand = (host.in_hand - 1.0).max(0.0);
-            let others = |pulls: f64| ((pulls - host.in_hand - 1.0).max(0.0), self.now);
-            host.others = ended.in_hand.filter(|_| id == &out.host).map(others).or(host.others);
             // Any answer, a failed fill too, shows that a host is not silent.
             (host.heard, host.mute) =
                 if id == &out.host && alive { (self.now, 0) } else { (host.heard, host.mute) };
@@ -532,9 +531,7 @@
             self.purges.retain(|(.., made)| now.since(*made) < self.terms.purge_settles + TIDY);
             self.hosts.retain(|_, host| host.line.standing != Standing::Gone || host.in_hand > 0.0);
         }
-        if now >= self.next_look {
-            self.look();
-        }
+        (now >= self.next_look).then(|| self.look());
         while self.due.first().is_some_and(|(at, _)| *at <= now) {
             self.agenda.extend(self.due.pop_first().map(|(_, id)| id));
         }
@@ -564,9 +561,8 @@
     pub fn seen(&mut self, now: Time, seen: Seen) -> Decisions {
         self.now = now;
         self.hear_link(seen.link);
-        if let Some(host) = self.hosts.get_mut(&seen.host) {
-            host.others = seen.in_hand.map(|pulls| ((pulls - host.in_hand).max(0.0), now)).or(host.others);
-        }
+        let host = self.hosts.get_mut(&seen.host);
+        host.into_iter().for_each(|host| host.report(now, seen.in_hand, seen.busy));
         self.wake(now)
     }
 
@@ -732,7 +728,9 @@
         let known = host.elsewhere.filter(|(_, at)| self.now.since(*at) < OLD).map(|(others, _)| others);
         let mixed = told.map_or(guess, |(told, _)| (guess * DOUBT + told * mates) / (DOUBT + mates));
         let load = (host.in_hand + known.unwrap_or(mixed) + 1.0) / (host.line.weight * part).max(0.1);
-        load.max(host.pace(self.now)) // guards against a cache that is slow for a reason no load tells
+        // Guards against pulls that wait for a slow fill being taken for work that the cache does.
+        let busy = host.busy.filter(|(_, at)| self.now.since(*at) < OLD).map_or(1.0, |(busy, _)| busy);
+        (load * busy.clamp(IDLE, 1.0)).max(host.pace(self.now)) // that guards against caches slow for other reasons
     }
 
     fn origin(&self) -> Option<&Host> {
--- a/src/words.rs
+++ b/src/words.rs
@@ -267,19 +267,19 @@
     pub waited: Option<Span>,
     /// Reported by a cache: transfers on its location's link over those that fit at full pace.
     pub link: Option<f64>,
-    /// Reported by the host: pulls that it holds.
+    /// Reported by the host: pulls that it holds, and the share of its capacity that it uses.
     pub in_hand: Option<f64>,
+    pub busy: Option<f64>,
 }
 
 /// What a host told when it was looked at.
 #[derive(Clone, Debug)]
 pub struct Seen {
     pub host: HostId,
-    /// It answered.
-    pub well: bool,
     /// As in [`Ended`].
     pub link: Option<f64>,
     pub in_hand: Option<f64>,
+    pub busy: Option<f64>,
 }
 
 /// Take a hand-off back.
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -14,6 +14,8 @@
     /// The pulls that host "a" reports, and those that every other does.
     pub at_a: f64,
     pub elsewhere: f64,
+    /// The share of its capacity that host "a" reports in use.
+    pub busy: Option<f64>,
     /// What an answer takes unless said otherwise, in milliseconds.
     pub took: u64,
     next: u64,
@@ -90,6 +92,7 @@
             again: false,
             at_a: 0.0,
             elsewhere: 0.0,
+            busy: None,
             took: 110,
             next: 0,
         };
@@ -162,8 +165,8 @@
         self.ended(at, ending, told, Span::from_ms(waited), Span::from_ms(self.took), link);
     }
 
-    pub fn seen(&mut self, name: &str, well: bool, link: Option<f64>) {
-        let decisions = self.brain.seen(self.now, Seen { host: host(name), well, link, in_hand: None });
+    pub fn seen(&mut self, name: &str, link: Option<f64>) {
+        let decisions = self.brain.seen(self.now, Seen { host: host(name), link, in_hand: None, busy: None });
         self.apply(decisions);
     }
 
@@ -171,8 +174,9 @@
         let (leg, sent) = self.sent[at].clone();
         let (waited, closed) = (Some(waited), ending == Ending::Answered);
         let in_hand = Some(if sent.host == host("a") { self.at_a } else { self.elsewhere });
+        let busy = self.busy.filter(|_| sent.host == host("a"));
         let (pull, host) = (sent.pull, sent.host);
-        let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand };
+        let ended = Ended { pull, leg, host, ending, took, closed, told, waited, link, in_hand, busy };
         let decisions = self.brain.hand_off_ended(self.now, ended);
         self.apply(decisions);
     }
--- a/tests/guided.rs
+++ b/tests/guided.rs
@@ -60,6 +60,7 @@
         waited: Some(Span::of_ms(waited)),
         link: None,
         in_hand: None,
+        busy: None,
     }
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -514,8 +514,19 @@
         assert_eq!(facade.tick(late), [pull], "given up, but nobody has asked yet");
         let (ending, closed, told, took) = (Ending::Answered, true, Told::Held, Span::from_ms(899));
         let host = sent.host;
-        let ended =
-            Ended { pull, leg, host, ending, took, closed, told, waited: None, link: None, in_hand: None };
+        let ended = Ended {
+            pull,
+            leg,
+            host,
+            ending,
+            took,
+            closed,
+            told,
+            waited: None,
+            link: None,
+            in_hand: None,
+            busy: None,
+        };
         facade.report(late, if answered { News::Ended(ended) } else { News::Left(pull) });
         assert_eq!((facade.pick(pull), facade.pick(pull)), (Step::TakeBack(leg), Step::Wait));
     }
@@ -583,7 +594,7 @@
     assert!((4..7).contains(&fake.looks.len()), "{:?}", fake.looks);
     assert!(fake.looks.windows(2).all(|pair| pair[0] != pair[1]), "each in its turn");
     assert!(fake.looks.iter().all(|id| [host("a"), host("bb")].contains(id)), "no parent, not the origin");
-    fake.seen("a", true, Some(30.0));
+    fake.seen("a", Some(30.0));
     let at = fake.pull(0, 1);
     assert_eq!(fake.sent[at].1.source, fake.sent[at].1.host, "the link is full: only a hit is asked for");
     fake.pass(2100);
@@ -683,3 +694,19 @@
     let at = |name: &str| fake.sent.iter().filter(|(_, sent)| sent.source == host(name)).count();
     assert_eq!((at("p"), at("o")), (24, 24), "its window first, then the origin's, then only hits");
 }
+
+#[test]
+fn pulls_that_wait_for_slow_fills_are_not_taken_for_work_that_a_cache_does() {
+    let moved_with = |busy: f64| {
+        let mut fake = Fake::new(Terms { zone_dispatchers: vec![17, 0], ..single() }, usual());
+        (fake.at_a, fake.busy) = (14.0, Some(busy));
+        let at = |fake: &mut Fake, object| {
+            fake.fill(object, 100.0, Told::Held, |_| 0);
+            fake.sent.last().unwrap().1.host == host("a")
+        };
+        (0..60).for_each(|object| _ = at(&mut fake, object));
+        (0..60).filter(|object| at(&mut fake, *object)).count()
+    };
+    let (busy, idle) = (moved_with(1.0), moved_with(0.1));
+    assert!(busy < idle, "of 60 objects {busy} stay at a cache that is full, {idle} at one that waits");
+}
