--- a/src/brain.rs
+++ b/src/brain.rs
@@ -730,7 +730,7 @@
         let load = (host.in_hand + known.unwrap_or(mixed) + 1.0) / (host.line.weight * part).max(0.1);
         // Guards against pulls that wait for a slow fill being taken for work that the cache does.
         let busy = host.busy.filter(|(_, at)| self.now.since(*at) < OLD).map_or(1.0, |(busy, _)| busy);
-        (load * busy.clamp(IDLE, 1.0)).max(host.pace(self.now)) // that guards against caches slow for other reasons
+        (load * busy.clamp(IDLE, 1.0)).max(host.pace(self.now)) // guards against what no load tells
     }
 
     fn origin(&self) -> Option<&Host> {
