Forwarders with a wrong wall clock take purges and cold hosts for what they are

Change: flaxdeck-recovery's clocks, pure: the least time between a live event and what it tells is what the clocks are apart by, one that fits ends that. Forwarders beside others put hosts' starts right by it, tell others the starts as they were told, and count a purge from when it was told. Off without a plan file. Planners judge no age by Unix time. Not covered: purges of the configuration file itself under a wrong clock; less than a second apart.

--- a/crates/flaxdeck-cli/tests/coming_back.rs
+++ b/crates/flaxdeck-cli/tests/coming_back.rs
@@ -395,3 +395,52 @@
     assert_eq!(full(&lines), Vec::<f64>::new());
     kept(&fleet, &clients);
 }
+
+/// All forwarders restart with a wall clock that is wrong by so much; then one object after another is purged, and two
+/// caches restart cold.
+fn with_clocks_apart(ms: i64, planners: usize) -> (Fleet, Seekers, f64) {
+    // So cold, and for so long, that a cache taken for warm falls over. Without planners nobody vouches between two words
+    // of the coordinator, a second apart.
+    let layout = Layout { cold_from: 0.01, warm_within_ms: 600_000.0, ..Layout::default() };
+    let blind = if planners > 0 { "(blind (after-ms 900))" } else { "" };
+    let mut fleet = fleet(Setup { blind, ..setup(planners, 3) }, layout);
+    let caches = fleet.world.hosts(Kind::Cache);
+    let (clients, begins) = clients(&fleet, 450.0, 9_500.0);
+    let mut script = vec![(begins + 200.0, Fault::ClocksApart(ms))];
+    script.extend(all(3, begins + 200.0, Fault::KillForwarder));
+    script.extend(all(3, begins + 300.0, Fault::StartForwarder));
+    let hot = |n: u64| format!("{:016x}", n.wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    script.extend((0..20).map(|n| (begins + 1_000.0 + 50.0 * n as f64, Fault::Purge(hot(1 + n % 5)))));
+    script.extend([0, 1].map(|at| (begins + 2_100.0, Fault::RestartHost(caches[at].clone()))));
+    fleet.play(&script).unwrap();
+    (fleet, clients, begins)
+}
+
+fn kept_with_clocks_apart(ms: i64, planners: usize) {
+    let (fleet, clients, begins) = with_clocks_apart(ms, planners);
+    let verdict = kept(&fleet, &clients);
+    assert!(verdict.most_of_bound < 0.8, "cold hosts got more than their part: {verdict:?}");
+    assert_eq!(fleet.world.fell_over(), 0, "{ms} ms apart");
+    assert!(
+        logged(&fleet, "the wall clock and the coordinator's") >= 3,
+        "each says so: {:#?}",
+        fleet.lines()
+    );
+    let after = finished(&clients, begins + 900.0, begins + 2_000.0);
+    assert!(after > 0.97, "{after} finished with clocks {ms} ms apart");
+}
+
+#[test]
+fn purges_and_cold_caches_are_known_for_what_they_are_by_clocks_an_hour_ahead() {
+    kept_with_clocks_apart(3_600_000, 0);
+}
+
+#[test]
+fn purges_and_cold_caches_are_known_for_what_they_are_by_clocks_an_hour_behind() {
+    kept_with_clocks_apart(-3_600_000, 2);
+}
+
+#[test]
+fn purges_and_cold_caches_are_known_for_what_they_are_by_clocks_three_seconds_ahead() {
+    kept_with_clocks_apart(3_000, 0);
+}
--- a/crates/flaxdeck-dispatcher/src/routing/guides.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/guides.rs
@@ -14,6 +14,7 @@
 use flaxdeck_guidance::messages::{Epoch, Guidance};
 use flaxdeck_net::clock;
 use flaxdeck_net::tally::{Count, count};
+use flaxdeck_recovery::clocks::{self, Clocks};
 use flaxdeck_recovery::numbering::{Doubt, Numbering};
 use flaxdeck_recovery::phase::{Return, Unheard};
 use flaxdeck_recovery::{Mark, Pace, doubt};
@@ -52,6 +53,9 @@
     numbering: Rc<RefCell<Numbering>>,
     /// The lines of hosts as last told, and which of them are doubted.
     lines: RefCell<BTreeMap<HostId, Listed>>,
+    clocks: RefCell<Clocks>,
+    /// What is told from now on has happened while this process ran.
+    begun: Cell<bool>,
     doubted: RefCell<doubt::Doubted>,
     back: RefCell<Return>,
     seed: u64,
@@ -77,6 +81,8 @@
             guidelines,
             numbering,
             lines: RefCell::default(),
+            clocks: RefCell::default(),
+            begun: Cell::new(false),
             doubted: RefCell::default(),
             back: RefCell::new(Return::begin(now, unheard)),
             seed,
@@ -174,7 +180,10 @@
     pub fn keep_last(&self) {
         let keeper = self.keeper.borrow().clone();
         if let Some(keeper) = keeper {
-            keeper.last(&self.facade.borrow().sights(self.clock.now()));
+            let mut sights = self.facade.borrow().sights(self.clock.now());
+            let guides = self.guides.borrow().clone();
+            guides.into_iter().for_each(|guides| guides.clocks.borrow().sights(&mut sights));
+            keeper.last(&sights);
         }
     }
 
@@ -187,6 +196,50 @@
         }
     }
 
+    /// An event that has just happened tells how far apart the clocks are.
+    pub(super) fn hear_clock(&self, event: &Event) {
+        let Some(guides) = self.guides.borrow().clone() else { return };
+        let now = self.clock.now();
+        let mut told: Vec<(Time, Span)> = Vec::new();
+        match event {
+            Event::Purged { made, .. } => told.push((*made, clocks::PURGE_LATE)),
+            Event::Hosts(Coverage::Changes, stations) => {
+                let lines = guides.lines.borrow();
+                for line in stations.iter().map(|station| &station.listed) {
+                    let anew = lines.get(&line.host).is_some_and(|before| before.started != line.started);
+                    told.extend(line.started.filter(|_| anew).map(|started| (started, clocks::START_LATE)));
+                }
+            }
+            Event::Hosts(Coverage::Whole, _) => {}
+        }
+        let changed = |(told, late): (Time, Span)| guides.clocks.borrow_mut().heard(now, told, late);
+        if told.into_iter().map(changed).fold(false, |any, changed| any | changed) {
+            count(Count::clocks_apart);
+            log::error!("the wall clock and the coordinator's: {:?}", guides.clocks.borrow().apart());
+            let lines = guides.lines.borrow().values().cloned().collect();
+            self.report_lines(Coverage::Changes, lines);
+        }
+    }
+
+    /// Lines of hosts go to the brain with their starts by the own clock.
+    pub(super) fn report_lines(&self, coverage: Coverage, mut lines: Vec<Listed>) {
+        let guides = self.guides.borrow().clone();
+        guides.into_iter().for_each(|guides| guides.clocks.borrow().lines(&mut lines));
+        self.report(News::Hosts(coverage, lines));
+    }
+
+    /// When a purge counts as made. Guards against a clock that makes it older than it is: beside others it counts from
+    /// when it was told, which asks for younger copies than need be and never for older ones.
+    pub(super) fn purged_at(&self, made: Time) -> Time {
+        let begun = self.guides.borrow().as_ref().is_some_and(|guides| guides.begun.get());
+        if begun { self.clock.now() } else { made }
+    }
+
+    /// What the configuration tells has been told.
+    pub(super) fn begun(&self) {
+        self.guides.borrow().iter().for_each(|guides| guides.begun.set(true));
+    }
+
     /// A whole list came in place of what should have followed: what can't be vouched for counts as in doubt.
     pub(super) fn told_anew(&self, mark: Mark, event: Event, doubt: Option<Doubt>) {
         let (Some(guides), Event::Hosts(coverage, mut stations)) = (self.guides.borrow().clone(), event)
@@ -259,10 +312,14 @@
 
     fn tell_brain(&self, guides: &Guides) {
         let now = self.clock.now();
-        let (guided, informed) = {
+        let (mut guided, informed) = {
             let mut guide = guides.guide.borrow_mut();
             (guide.hints(now), guide.informed(now))
         };
+        let clocks = *guides.clocks.borrow();
+        for (started, _) in guided.hints.iter_mut().filter_map(|hint| hint.share.as_mut()) {
+            *started = started.map(|told| clocks.own(told));
+        }
         let before = guides.informed.replace(informed);
         if before != informed {
             let worse = matches!(informed, Informed::Blind) && guides.back.borrow().took()[0].is_some();
@@ -283,7 +340,8 @@
                 () = guides.report_now.notified() => {}
             }
             let now = self.clock.now();
-            let sights = self.facade.borrow().sights(now);
+            let mut sights = self.facade.borrow().sights(now);
+            guides.clocks.borrow().sights(&mut sights);
             {
                 let mut guide = guides.guide.borrow_mut();
                 guide.stand(now, &sights);
@@ -319,7 +377,7 @@
                     back.len()
                 );
                 Router::keep_lines(&guides, &back);
-                self.report(News::Hosts(Coverage::Changes, back));
+                self.report_lines(Coverage::Changes, back);
             }
         }
     }
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -159,20 +159,28 @@
             Event::Hosts(coverage, stations) => {
                 self.pool.list(coverage, &stations);
                 let lines = stations.into_iter().map(|station| station.listed).collect();
-                self.report(News::Hosts(coverage, lines));
+                self.report_lines(coverage, lines);
+            }
+            Event::Purged { object, group, made } => {
+                self.report(News::Purged { object, group, made: self.purged_at(made) });
             }
-            Event::Purged { object, group, made } => self.report(News::Purged { object, group, made }),
         }
     }
 
     /// Follows the coordinator.
     pub async fn follow(self: Rc<Router>, mut feed: Feed) {
+        self.begun();
         loop {
             tokio::select! {
                 word = feed.next() => {
                     match word {
                         Word::Alive => {}
-                        Word::Event(mark, _, event) => self.told(mark, event),
+                        Word::Event(mark, _, event) => {
+                            if feed.is_current() {
+                                self.hear_clock(&event);
+                            }
+                            self.told(mark, event);
+                        }
                         Word::Anew(mark, event, doubt) => self.told_anew(mark, event, doubt),
                     }
                     if feed.is_current() {
--- a/crates/flaxdeck-net/src/tally.rs
+++ b/crates/flaxdeck-net/src/tally.rs
@@ -45,6 +45,7 @@
     feed_gaps,
     feed_anew,
     hosts_doubted,
+    clocks_apart,
     state_damaged,
     state_behind,
     state_broken,
--- a/crates/flaxdeck-recovery/src/lib.rs
+++ b/crates/flaxdeck-recovery/src/lib.rs
@@ -4,10 +4,12 @@
 //! - [`numbering`]: whether the coordinator still speaks the numbering that is known here, and what follows if not.
 //! - [`doubt`]: which lines of a list that came instead of what followed may be used.
 //! - [`belief`]: what of stored state may be believed, item by item.
+//! - [`clocks`]: what told Unix times mean by a clock of one's own that may be wrong.
 //! - [`pace`]: pauses between the calls that instances make by themselves, out of step with each other.
 //! - [`phase`]: how far an instance has come back, and whether it takes clients yet.
 
 pub mod belief;
+pub mod clocks;
 pub mod doubt;
 pub mod numbering;
 pub mod pace;
