--- /dev/null
+++ b/crates/flaxdeck-adapter/tests/looks.rs
@@ -0,0 +1,104 @@
+//! The adapter's program on its wire, where hosts tell their load only to who asks.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+use serde_json::{Value, json};
+
+fn settings(via: &str, probes: bool) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "objective_ms": 400.0, "aim_stretch": 2.0, "deadline_ms": 3000.0,
+            "key_scope": "all", "memory_span_ms": 3000.0})
+    };
+    json!({
+        "allowed": {"cancel": true, "max_attempts": 6, "may_duplicate": false, "probes": probes, "retry_after": true,
+            "max_retry_after_ms": 2000.0},
+        "family_info": {"class_parts": [false, false], "client_kb_per_s": 1000.0, "collapses": true,
+            "count_by_zone": [0, 1], "direct": true, "goes_through": [false, true], "max_age_ms": [8000.0, 0.0],
+            "older_by_ms": [20000.0, 0.0], "purge_settles_ms": 6000.0, "shield_kind": 1, "source_kind": 2,
+            "upper_cold_from": 0.1, "upper_cold_ms": 20000.0, "upper_fall_multiple": 2.0},
+        "group_size": 1, "kinds": ["cache", "parent", "origin"],
+        "request_classes": [class("page", "idempotent"), class("note", "deduplicated")],
+        "rules": {"cold_from": 0.3, "fall_ms": 1000.0, "overload_factor": 2.0, "warm_within_ms": 9000.0},
+        "stats": {"fields": ["utilization", "x0", "x1"], "via": via},
+        "tick_ms": 2.0, "zone": "edge-1", "zones": ["north", "edge-1"]
+    })
+}
+
+/// What the adapter replies to batches of events, each at its time; batch by batch.
+fn replies(batches: &[(f64, Vec<Value>)]) -> Vec<Vec<Value>> {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_flaxdeck-adapter"))
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut input = child.stdin.take().unwrap();
+    for (at, events) in batches {
+        writeln!(input, "{}", json!({"event_type": "Mark", "sim_time_ms": at})).unwrap();
+        events.iter().for_each(|event| writeln!(input, "{event}").unwrap());
+        writeln!(input, "{}", json!({"event_type": "EofBatch"})).unwrap();
+    }
+    drop(input);
+    let output = child.wait_with_output().unwrap();
+    let mut batches = vec![Vec::new()];
+    for line in String::from_utf8(output.stdout).unwrap().lines() {
+        let action: Value = serde_json::from_str(line).unwrap();
+        match action["event_type"].as_str() {
+            Some("End") => batches.push(Vec::new()),
+            _ => batches.last_mut().unwrap().push(action),
+        }
+    }
+    batches
+}
+
+fn started(via: &str, probes: bool) -> Vec<Value> {
+    let host = |name: &str, shape: &str, zone: &str| {
+        json!({"host": name, "heft": 20.0, "region_part": zone, "cluster": 0, "shape": shape, "mode": "in_service",
+            "boot_time_ms": null})
+    };
+    let hosts =
+        [host("c:1", "cache", "edge-1"), host("p:1", "parent", "north"), host("o:1", "origin", "north")];
+    vec![
+        json!({"event_type": "Launch", "who": "d-0", "entropy": 7, "params": settings(via, probes)}),
+        json!({"event_type": "Directory", "sheet": 0, "elements": hosts}),
+        json!({"event_type": "Endpoints", "who": "d-0", "how": "Persisted", "version": 1, "sheet": 0}),
+    ]
+}
+
+fn pull(id: u64, at: f64) -> Value {
+    json!({"event_type": "Accept", "who": "d-0", "request_id": id, "is_write": false, "key": id, "slice": 0,
+        "set_no": 1, "qos": "page", "expires_ms": at + 3000.0})
+}
+
+fn of<'a>(batch: &'a [Value], name: &str) -> Vec<&'a Value> {
+    batch.iter().filter(|action| action["event_type"] == name).collect()
+}
+
+#[test]
+fn a_cache_is_asked_for_its_load_and_what_it_tells_of_the_link_is_heeded() {
+    let told = json!({"event_type": "CheckResult", "who": "d-0", "host": "c:1", "reason": "S", "latency_ms": 2.0,
+        "stats": [0.4, 0.7, 30.0]});
+    let wake = json!({"event_type": "Elapsed", "who": "d-0", "ctx": 0});
+    let batches = replies(&[
+        (1000.0, started("on_probe", true)),
+        (1500.0, vec![wake]),
+        (1510.0, vec![pull(1, 1510.0)]),
+        (1520.0, vec![told, pull(2, 1520.0)]),
+    ]);
+    let looks = of(&batches[1], "Inspect");
+    assert_eq!(looks.len(), 1, "{:?}", batches[1]);
+    assert_eq!(looks[0]["host"], "c:1");
+    assert_eq!(of(&batches[2], "Obtain")[0]["miss_from"], "p:1");
+    let after = of(&batches[3], "Obtain")[0];
+    assert_eq!(after["miss_from"], "c:1", "the link is full: only a hit is asked for");
+    assert_eq!(after["how_old_ms"], 28_000.0, "and an ageing one will do");
+}
+
+#[test]
+fn nobody_is_asked_where_answers_tell_the_load_or_asking_is_not_allowed() {
+    for (via, probes) in [("inline", true), ("on_probe", false), ("off", true)] {
+        let wake = json!({"event_type": "Elapsed", "who": "d-0", "ctx": 0});
+        let batches = replies(&[(1000.0, started(via, probes)), (2500.0, vec![wake])]);
+        assert!(batches.iter().all(|batch| of(batch, "Inspect").is_empty()), "{via} {probes}");
+    }
+}
--- a/crates/flaxdeck-dispatcher/src/routing/guides.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/guides.rs
@@ -316,7 +316,7 @@
             let mut guide = guides.guide.borrow_mut();
             (guide.hints(now), guide.informed(now))
         };
-        let clocks = *guides.clocks.borrow();
+        let clocks = guides.clocks.borrow().clone();
         for (started, _) in guided.hints.iter_mut().filter_map(|hint| hint.share.as_mut()) {
             *started = started.map(|told| clocks.own(told));
         }
