Reread: one hash for hosts and planners, no walk over all hosts at each end

Cause, found by reading the change: the end of every hand-off walked all hosts twice for the origin (hand_off_ended, time) where only refusals and fills behind it need it; each choice of a source walked all hosts for the quickest parent beside the parents in hand; the hash stood in the brain and in the guidance; a workload's figures were copied field by field. Change: both looked up only when asked for; flaxdeck::hash serves both; Kind holds its Workload, whose fresh time is none rather than zero.

--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -383,7 +383,7 @@
             repeats,
             goes_through,
             parted: false,
-            fresh: Span::ZERO,
+            fresh: None,
             older: Span::ZERO,
         };
         Terms {
--- a/crates/flaxdeck-guidance/examples/size.rs
+++ b/crates/flaxdeck-guidance/examples/size.rs
@@ -123,7 +123,7 @@
         repeats: Repeats::Reissuable,
         goes_through: false,
         parted: false,
-        fresh: Span::ZERO,
+        fresh: None,
         older: Span::ZERO,
     };
     Terms {
--- a/crates/flaxdeck-guidance/src/membership.rs
+++ b/crates/flaxdeck-guidance/src/membership.rs
@@ -1,6 +1,7 @@
 //! Which planner is in charge of a host's life, by each forwarder's own view of who is alive. No election: two views
 //! may differ for a while, and [`crate::shares`] keeps the sum right all the same.
 
+use flaxdeck::hash::{mix, of_name};
 use flaxdeck::words::{Span, Time};
 
 use crate::messages::{Epoch, Life};
@@ -100,17 +101,10 @@
     }
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
-    x ^ (x >> 31)
-}
-
 /// The planner in charge of a life: the first of the live ones in the life's own order (rendezvous), steady ones
 /// before those that have just come.
 pub fn in_charge(now: Time, planners: &[Known], life: &Life) -> Option<PlannerId> {
-    let fold = |hash: u64, byte: u8| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
-    let hash = life.host.bytes().fold(0xcbf29ce484222325 ^ life.started, fold);
+    let hash = of_name(&life.host, life.started);
     let live = planners.iter().filter(|planner| planner.live(now));
     let draw = |planner: &&Known| (planner.steady(now), mix(hash ^ mix(u64::from(planner.id.0) + 1)));
     live.max_by_key(draw).map(|planner| planner.id)
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -112,7 +112,7 @@
             repeats: repeats(&class)?,
             goes_through: through.get(at).copied().unwrap_or(false),
             parted: parted.get(at).copied().unwrap_or(false),
-            fresh: Span::of_ms(fresh.get(at).copied().unwrap_or(0.0)),
+            fresh: fresh.get(at).copied().filter(|ms| *ms > 0.0).map(Span::of_ms),
             older: Span::of_ms(older.get(at).copied().unwrap_or(0.0)),
         });
     }
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -9,6 +9,7 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::hash::{mix, of_name};
 use crate::words::{Ending::*, Told::*, *};
 
 // Ratings (the design page's open values).
@@ -81,23 +82,14 @@
 
 /// The figures of a workload that decisions use, with the mean sending time seen.
 struct Kind {
-    promised: Span,
-    stretch: f64,
-    repeats: Repeats,
-    goes_through: bool,
-    parted: bool,
-    fresh: Option<Span>,
-    older: Span,
+    of: Workload,
     mean_work: f64,
     samples: f64,
 }
 
 impl Kind {
     fn new(of: Workload) -> Kind {
-        let Workload { promised, stretch, repeats, goes_through, parted, fresh, older } = of;
-        let (mean_work, samples) = (promised.ms() / (1.0 + stretch), 0.0);
-        let fresh = Some(fresh).filter(|fresh| *fresh > Span::ZERO);
-        Kind { promised, stretch, repeats, goes_through, parted, fresh, older, mean_work, samples }
+        Kind { mean_work: of.promised.ms() / (1.0 + of.stretch), samples: 0.0, of }
     }
     fn learn(&mut self, work: f64) {
         self.samples = (self.samples + 1.0).min(SETTLED);
@@ -108,7 +100,7 @@
         if self.samples < SETTLED { self.mean_work.max(work) } else { self.mean_work }
     }
     fn large(&self, pull: &Pull) -> bool {
-        pull.size_kb.is_some_and(|kb| self.parted || kb >= LARGE_KB)
+        pull.size_kb.is_some_and(|kb| self.of.parted || kb >= LARGE_KB)
     }
 }
 
@@ -141,8 +133,7 @@
 
 impl Host {
     fn new(line: Listed, now: Time) -> Host {
-        let fold = |hash: u64, byte| (hash ^ u64::from(byte)).wrapping_mul(0x100000001b3);
-        let hash = mix(line.host.0.bytes().fold(0xcbf29ce484222325, fold));
+        let hash = mix(of_name(&line.host.0, 0));
         let (reputation, next_trial, window, slow) = (1.0, now + TRIAL, WINDOW, (1.0, now));
         Host { line, hash, reputation, next_trial, window, slow, heard: now, ..Host::default() }
     }
@@ -231,12 +222,6 @@
     out: Decisions,
 }
 
-fn mix(mut x: u64) -> u64 {
-    x = (x ^ (x >> 30)).wrapping_mul(0xbf58476d1ce4e5b9);
-    x = (x ^ (x >> 27)).wrapping_mul(0x94d049bb133111eb);
-    x ^ (x >> 31)
-}
-
 /// What the shared hash draws for an object's part at a host, 0 to 1; the higher, the more it belongs there.
 // Guards against one cache being leant on for all parts of an object that is much asked for.
 fn draw(host: &Host, pull: &Pull) -> f64 {
@@ -299,16 +284,14 @@
     pub fn pull(&mut self, now: Time, mut pull: Pull) -> Decisions {
         pull.hard_stop = pull.hard_stop.min(self.ends);
         let kind = &mut self.kinds[pull.workload.0];
-        let told = pull
-            .size_kb
-            .filter(|_| self.terms.client_kb_per_s > 0.0)
-            .map(|kb| kb / self.terms.client_kb_per_s * 1000.0);
+        let pace = self.terms.client_kb_per_s / 1000.0;
+        let told = pull.size_kb.filter(|_| pace > 0.0).map(|kb| kb / pace);
         told.into_iter().for_each(|work| kind.learn(work));
         let work = told.unwrap_or(kind.mean_work);
         self.mean_work += (work - self.mean_work) / kind.samples.max(1.0);
         // A client that asks again waits since its first try, so an old promise holds for the new pull too.
         let owed = self.owed.remove(&(pull.object, pull.part)).filter(|_| pull.again);
-        let promised = owed.unwrap_or(now + kind.promised + Span::of_ms(work * kind.stretch));
+        let promised = owed.unwrap_or(now + kind.of.promised + Span::of_ms(work * kind.of.stretch));
         let (id, stop) = (pull.id, pull.hard_stop - self.early);
         let (out, tried, legs, pauses, ran) = (Vec::new(), Vec::new(), 0, 0, None);
         let (not_before, missed, done) = (now, false, false);
@@ -386,7 +369,8 @@
     /// A hand-off has ended.
     pub fn hand_off_ended(&mut self, now: Time, ended: Ended) -> Decisions {
         self.now = now;
-        let origin_well = self.origin().is_some_and(|host| host.usable() && host.window >= WINDOW);
+        let well = |origin: &Host| origin.usable() && origin.window >= WINDOW;
+        let origin_well = ended.told == SourceRefused && self.origin().is_some_and(well);
         let Some(held) = self.pulls.get_mut(&ended.pull) else { return self.wake(now) };
         let Some(at) = held.out.iter().position(|out| out.leg == ended.leg) else { return self.wake(now) };
         let out = held.out.remove(at);
@@ -427,7 +411,9 @@
 
     // How much longer than its sending time an answer of a cache took, and what that tells of whom.
     fn time(&mut self, out: &Out, ended: &Ended, work: f64, untold: Option<WorkloadId>) {
-        let (now, origin) = (self.now, self.origin().map(|origin| origin.line.host.clone()));
+        let (now, through) = (self.now, self.origin().filter(|_| ended.told == FilledThroughOrigin));
+        let filled = Some(&out.source).filter(|_| ended.told == Filled);
+        let source = through.map(|origin| &origin.line.host).or(filled).cloned();
         let Some(cache) = self.hosts.get_mut(&out.host) else { return };
         let pace = cache.pace(now);
         if ended.told == Told::Held {
@@ -435,8 +421,6 @@
             let learnt = untold.filter(|_| cache.in_hand <= cache.line.weight);
             learnt.into_iter().for_each(|workload| self.kinds[workload.0].learn(ended.took.ms()));
         }
-        let through = origin.filter(|_| ended.told == FilledThroughOrigin);
-        let source = through.or((ended.told == Filled).then(|| out.source.clone()));
         let slow = ended.waited.map(|waited| ended.took.less(waited).ms() / work / pace);
         if let (Some(source), Some(slow)) = (source.and_then(|id| self.hosts.get_mut(&id)), slow) {
             source.time(now, slow);
@@ -610,7 +594,7 @@
     // A bounce promises that a retry is harmless; where that can't be known it is a forfeit.
     fn give_up(&mut self, id: PullId) -> bool {
         let held = &self.pulls[&id];
-        let harmless = match self.kinds[held.pull.workload.0].repeats {
+        let harmless = match self.kinds[held.pull.workload.0].of.repeats {
             Repeats::Reissuable | Repeats::Numbered { scope: Scope::All, .. } => true,
             _ => held.ran.is_none() && held.out.is_empty(),
         };
@@ -625,7 +609,7 @@
     // Guards against an effect that happens twice.
     fn may_follow(&self, held: &Held) -> bool {
         let ran = held.ran.as_ref().map(|(sent, _)| *sent).or(held.out.first().map(|out| out.sent));
-        let allowed = match (self.kinds[held.pull.workload.0].repeats, ran) {
+        let allowed = match (self.kinds[held.pull.workload.0].of.repeats, ran) {
             (Repeats::Reissuable, _) | (_, None) => true,
             (Repeats::AtMostOnce, Some(_)) => false,
             (Repeats::Numbered { remembered, .. }, Some(sent)) => self.now + self.early < sent + remembered,
@@ -677,7 +661,8 @@
         }
         let culprit = muted.into_iter().max().map(|(.., id)| id);
         out.silent = Some(culprit.is_some());
-        let again = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable && self.terms.may_cancel;
+        let again =
+            self.kinds[held.pull.workload.0].of.repeats == Repeats::Reissuable && self.terms.may_cancel;
         let taken_back = culprit.iter().filter(|_| again && !self.terms.may_duplicate);
         self.out.cancels.extend(taken_back.map(|_| Cancel { pull: id, leg: out.leg }));
         held.tried.extend(culprit.clone());
@@ -687,7 +672,7 @@
 
     fn hand_off_beside_the_silent(&mut self, id: PullId) -> bool {
         let Some(held) = self.pulls.get(&id) else { return false };
-        let reissuable = self.kinds[held.pull.workload.0].repeats == Repeats::Reissuable;
+        let reissuable = self.kinds[held.pull.workload.0].of.repeats == Repeats::Reissuable;
         let silent = !held.out.is_empty() && held.out.iter().all(|out| out.silent == Some(true));
         let allowed = self.terms.may_duplicate && reissuable && silent && self.may_follow(held);
         allowed && held.pull.hard_stop.since(self.now).ms() > held.work + SLACK.ms() && self.hand_off(id)
@@ -763,7 +748,7 @@
 
     // A numbered pull that may have run stays among the hosts that drop its repeats.
     fn in_scope(&self, held: &Held, host: &Host) -> bool {
-        let repeats = self.kinds[held.pull.workload.0].repeats;
+        let repeats = self.kinds[held.pull.workload.0].of.repeats;
         let (Repeats::Numbered { scope, .. }, Some((_, first))) = (repeats, &held.ran) else { return true };
         let cell = |line: &Listed| (line.zone, if scope == Scope::Cell { line.cell } else { CellId(0) });
         let same = |first: &Host| cell(&first.line) == cell(&host.line);
@@ -772,7 +757,7 @@
 
     fn pick_cache(&self, held: &Held, open: bool) -> Option<HostId> {
         let kind = &self.kinds[held.pull.workload.0];
-        let trials = kind.repeats == Repeats::Reissuable && held.legs == 0;
+        let trials = kind.of.repeats == Repeats::Reissuable && held.legs == 0;
         let fits = |host: &Host| self.in_scope(held, host) && self.cold_room(host, kind.cost(held.work));
         let up = |host: &Host| host.reputation >= FLOOR || (trials && host.next_trial <= self.now);
         let mut order = self.in_hash_order(Role::Cache, &held.pull);
@@ -799,18 +784,18 @@
         let kind = &self.kinds[held.pull.workload.0];
         let measure = usize::from(kind.large(&held.pull));
         let new = |host: &&Host| !held.tried.contains(&host.line.host) && self.cold_room(host, held.work);
-        let paces = self.hosts.values().filter(|host| host.is(Role::Parent) && host.usable());
-        let quick = paces.map(|host| host.pace(self.now)).fold(ADMIT, f64::min);
-        // Guards against parents that grow slow: as from a loaded cache, objects leave one by one.
-        let keeps = |host: &Host| host.pace(self.now) <= quick * FULL * stays(host, &held.pull);
-        let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL && keeps(host);
         let trial = |host: &&&Host| held.legs == 0 && host.next_trial <= self.now;
         let origin = self.origin();
         let mut parents = self.in_hash_order(Role::Parent, &held.pull);
         self.wish(parents.first(), held.work);
+        let paces = parents.iter().filter(|host| host.usable()).map(|host| host.pace(self.now));
+        let quick = paces.fold(ADMIT, f64::min);
+        // Guards against parents that grow slow: as from a loaded cache, objects leave one by one.
+        let keeps = |host: &Host| host.pace(self.now) <= quick * FULL * stays(host, &held.pull);
+        let set = |host: &&&Host| host.usable() && host.beaten[measure] < SEVERAL && keeps(host);
         parents.retain(new);
         let first = parents.first().copied();
-        let chosen = if kind.goes_through {
+        let chosen = if kind.of.goes_through {
             origin.or(parents.iter().find(|host| host.usable()).copied())
         } else {
             let out = first.filter(|host| !set(&host) && trial(&host));
@@ -828,7 +813,7 @@
     fn hand_off(&mut self, id: PullId) -> bool {
         let (now, held) = (self.now, &self.pulls[&id]);
         let kind = &self.kinds[held.pull.workload.0];
-        let (through, work) = (kind.goes_through, held.work);
+        let (through, work) = (kind.of.goes_through, held.work);
         let open = through || self.link_open(held, kind.mean_work);
         // With no cache up, or none with room while the link has some, a pull goes past the caches.
         let idle = self.link.is_some_and(|(full, _)| full < LINK_IDLE) && work < kind.mean_work;
@@ -853,22 +838,23 @@
         let (past, trial) = (!self.hosts[&host].is(Role::Cache), behind.next_trial <= now);
         let only_held = stopped && behind.is(Role::Parent) && !through;
         // Where only a hit will do, a copy past its fresh time is worth more than none.
-        let older = if source == host { kind.older } else { Span::ZERO };
-        let oldest = self.oldest(&held.pull, kind.fresh, older);
+        let older = if source == host { kind.of.older } else { Span::ZERO };
+        let oldest = self.oldest(&held.pull, kind.of.fresh, older);
         let slow = self.load(&self.hosts[&host]).max(1.0);
         let patience = Span::of_ms(work * slow + behind.measures[0].unwrap_or(SLACK.ms())) * OVERDUE + SLACK;
         let left = held.pull.hard_stop.since(now);
-        let cut = kind.repeats == Repeats::Reissuable && !self.terms.may_duplicate && !self.terms.may_cancel;
+        let cut =
+            kind.of.repeats == Repeats::Reissuable && !self.terms.may_duplicate && !self.terms.may_cancel;
         self.out.hand_offs.push(HandOff {
             pull: id,
             host: host.clone(),
             source: source.clone(),
             allow: if cut { patience.min(left) } else { left },
             join: self.terms.joins,
-            renew: kind.fresh.is_some() && oldest.is_none(),
+            renew: kind.of.fresh.is_some() && oldest.is_none(),
             only_held,
             oldest,
-            fresh: kind.repeats != Repeats::Reissuable, // a reset there could not be made good
+            fresh: kind.of.repeats != Repeats::Reissuable, // a reset there could not be made good
             keep: if self.seen.contains_key(&held.pull.object) { 2 } else { 1 },
         });
         let (leg, cost) = (Leg(held.legs), if past { work } else { kind.cost(work) });
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod brain;
 pub mod facade;
+pub mod hash;
 pub mod words;
--- a/src/words.rs
+++ b/src/words.rs
@@ -126,8 +126,8 @@
     /// Runs at the origin and is never kept.
     pub goes_through: bool,
     pub parted: bool,
-    /// How long a copy is fresh; zero if it is until it is purged.
-    pub fresh: Span,
+    /// How long a copy is fresh; none if it is until it is purged.
+    pub fresh: Option<Span>,
     /// How much older than that a copy may be where nothing fresh is to be had, at a part of its worth.
     pub older: Span,
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -38,7 +38,7 @@
         repeats,
         goes_through: repeats == Repeats::AtMostOnce,
         parted: false,
-        fresh: Span::ZERO,
+        fresh: None,
         older: Span::ZERO,
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -670,7 +670,7 @@
 #[test]
 fn where_only_a_hit_will_do_an_ageing_copy_is_taken_but_none_from_before_a_purge() {
     let (fresh, older) = (Span::from_ms(8000), Span::from_ms(20_000));
-    let ageing = |of: &Workload| Workload { fresh, older, ..of.clone() };
+    let ageing = |of: &Workload| Workload { fresh: Some(fresh), older, ..of.clone() };
     let mut fake =
         Fake::new(Terms { workloads: terms().workloads.iter().map(ageing).collect(), ..terms() }, usual());
     let at = fake.pull(0, 1);
