--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -408,6 +408,7 @@
             joins: false,
             client_kb_per_s: shape.place_pace * 1000.0,
             purge_settles: Span::from_ms(6_000),
+            tells_link: true,
             may_look: false,
         }
     }
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -90,15 +90,13 @@
     let zones = settings.texts("zones")?;
     let zone = settings.text("zone")?;
     let zone = place(&zones, zone).ok_or_else(|| format!("zone {zone} is not among the zones"))?;
-    let report = settings.get("stats").map(|stats| Fields::of(stats, "stats")).transpose()?;
-    let report = match report {
-        Some(stats) if stats.text_or_none("via")?.is_some_and(|via| via != "off") => stats.texts("fields")?,
+    let stats = settings.get("stats").map(|stats| Fields::of(stats, "stats")).transpose()?;
+    let via = stats.as_ref().map(|stats| stats.text_or_none("via")).transpose()?.flatten();
+    let may_look = via == Some("on_probe") && allowed.flag_or_false("probes")?;
+    let report = match stats {
+        Some(stats) if via == Some("inline") || may_look => stats.texts("fields")?,
         _ => Vec::new(),
     };
-    let told_by_looks = match settings.get("stats") {
-        Some(stats) => Fields::of(stats, "stats")?.text_or_none("via")? == Some("on_probe"),
-        None => false,
-    };
     let (parted, through) = (family.flags("class_parts")?, family.flags("goes_through")?);
     let fresh = family.numbers("max_age_ms")?;
     let older = family.numbers("older_by_ms")?;
@@ -138,7 +136,8 @@
         joins: family.flag_or_false("collapses")?,
         client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
         purge_settles: family.span_or_zero("purge_settles_ms")?,
-        may_look: told_by_looks && allowed.flag_or_false("probes")?,
+        tells_link: place(&report, "x1").is_some(),
+        may_look,
     };
     let names = Names {
         workloads: names,
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -3,13 +3,13 @@
 //! returns [`Decisions`], applied in the order of its fields: cancels, hand-offs, final answers, next wake.
 //! An answered hand-off is its pull's final answer. The interface is `words.rs`; reasons: `docs/design.md`.
 
-use std::cell::Cell;
 use std::collections::{BTreeMap, BTreeSet};
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
 use crate::hash::{mix, of_name};
+use crate::state::{Held, Host, Out};
 use crate::words::{Ending::*, Told::*, *};
 
 // Ratings (the design page's open values).
@@ -104,33 +104,6 @@
     }
 }
 
-/// A host with its ratings and what this dispatcher has at it.
-#[derive(Default)]
-struct Host {
-    line: Listed,
-    hash: u64,
-    reputation: f64,
-    next_trial: Time,
-    heard: Time,
-    mute: u32,                  // hand-offs found overdue since then
-    measures: [Option<f64>; 2], // latency in ms, bandwidth in KB a ms
-    beaten: [u32; 2],           // fills in a row in which the origin beat it by each
-    in_hand: f64,
-    busy: Option<(f64, Time)>, // the share of its capacity in use by its last report
-    others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
-    window: f64,               // how many hand-offs may be out at it at once, as a source or past the caches
-    spent: Vec<(Time, PullId, Leg, f64)>,
-    elsewhere: Option<(f64, Time)>, // what others have out there, by their own word
-    share: Option<f64>,             // of a cold host's whole, by what others left to this dispatcher
-    wished: Cell<f64>,              // what it turned away for want of that since the last look
-    sampled: [Option<f64>; 2],      // the last own samples, and when they and the last hearsay were taken
-    measured: [Option<Time>; 2],
-    looked: Option<Time>, // when it was last asked for its load
-    slow: (f64, Time),    // times the sending time that its hits take, and when one last did
-    good: Option<Time>,   // the last own success and failure
-    bad: Option<Time>,
-}
-
 impl Host {
     fn new(line: Listed, now: Time) -> Host {
         let hash = mix(of_name(&line.host.0, 0));
@@ -169,30 +142,6 @@
     }
 }
 
-struct Out {
-    leg: Leg,
-    host: HostId,
-    source: HostId,
-    sent: Time,
-    overdue: Time,
-    silent: Option<bool>, // once it is overdue: whether its host or source has answered nothing since
-    trial: bool,
-}
-
-struct Held {
-    pull: Pull,
-    work: f64,
-    promised: Time,
-    out: Vec<Out>,
-    legs: u32,
-    ran: Option<(Time, HostId)>, // the first hand-off that may have run, with its host
-    not_before: Time,
-    pauses: u32,
-    missed: bool, // the cache that it belongs to lacks it
-    tried: Vec<HostId>,
-    done: bool,
-}
-
 pub struct Brain {
     now: Time,
     born: Time,
@@ -208,7 +157,6 @@
     vouched: bool,  // the list of hosts can be trusted
     by_right: f64,  // the part of the equal share that holds where none was told
     mean_work: f64, // of all pulls
-    link_told: bool,
     next_look: Time,
     hosts: BTreeMap<HostId, Host>,
     pulls: BTreeMap<PullId, Held>,
@@ -248,13 +196,13 @@
         let come_back = terms.may_name_return.then(|| COME_BACK.min(terms.longest_return));
         let (early, chance, ends) = (terms.tick * TICKS_EARLY, Pcg64Mcg::seed_from_u64(seed), Time::NEVER);
         let next_look = if terms.may_look { now + LOOK } else { Time::NEVER };
-        let (link, link_told, vouched, by_right, mean_work) = (None, false, true, 1.0, 0.0);
+        let (link, vouched, by_right, mean_work) = (None, true, 1.0, 0.0);
         let (hosts, pulls, purges, seen) = (BTreeMap::new(), BTreeMap::new(), Vec::new(), BTreeMap::new());
         let (owed, due, agenda, wake_at) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new(), None);
         #[rustfmt::skip]
         let mut brain = Brain {
             now, born: now, chance, kinds, zone_mates: mates, link, ramps, early, ends, come_back, terms,
-            vouched, by_right, mean_work, link_told, next_look, hosts, pulls, purges, seen, owed, due, agenda,
+            vouched, by_right, mean_work, next_look, hosts, pulls, purges, seen, owed, due, agenda,
             next_tidy: now + TIDY, wake_at, out: Decisions::default(),
         };
         let decisions = brain.wake(now);
@@ -550,7 +498,6 @@
     }
 
     fn hear_link(&mut self, link: Option<f64>) {
-        self.link_told |= link.is_some();
         self.link = link.map(|link| (link, self.now)).or(self.link);
     }
 
@@ -559,7 +506,7 @@
         let fresh = self.link.filter(|(_, at)| self.now.since(*at) < OLD).map(|(full, _)| full);
         let full = LINK_FULL * (slow - 1.0).max(0.0);
         let guess = fresh.map_or(full, |old| old + NEW_WEIGHT * (full - old));
-        self.link = if self.link_told { self.link } else { Some((guess, self.now)) };
+        self.link = if self.terms.tells_link { self.link } else { Some((guess, self.now)) };
     }
 
     fn drop_what_is_done(&mut self, id: PullId) -> bool {
@@ -649,7 +596,7 @@
         let mut muted = Vec::new();
         for (id, since) in BTreeMap::from([(&out.source, out.sent), (&out.host, lately)]) {
             let Some(host) = self.hosts.get_mut(id).filter(|host| host.heard <= since) else { continue };
-            host.mute = if enough == 1 { 1 } else { host.mute + 1 };
+            host.mute = (host.mute + 1).min(enough);
             muted.push((host.mute, id == &out.host, id.clone()));
         }
         // Guards against blaming a host for one pull that is large, or for what waits behind another.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod brain;
 pub mod facade;
 pub mod hash;
+mod state;
 pub mod words;
--- a/src/words.rs
+++ b/src/words.rs
@@ -157,6 +157,8 @@
     pub joins: bool,
     pub client_kb_per_s: f64,
     pub purge_settles: Span,
+    /// Reports tell how full the location's link is.
+    pub tells_link: bool,
     /// Hosts may be looked at, and tell their load only then.
     pub may_look: bool,
 }
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -67,6 +67,7 @@
         joins: true,
         client_kb_per_s: 1000.0,
         purge_settles: Span::from_ms(6000),
+        tells_link: true,
         may_look: false,
     }
 }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -628,7 +628,7 @@
 #[test]
 fn where_no_report_tells_of_the_link_slow_fills_do() {
     let fills_after = |took: u64| {
-        let mut fake = Fake::new(single(), usual());
+        let mut fake = Fake::new(Terms { tells_link: false, ..single() }, usual());
         for object in 0..20 {
             let at = fake.pull(0, object);
             fake.end_after(at, Ending::Answered, Told::Filled, took);
