A deduplicated request's mark goes on to its host; unknown fields were dropped

Ruled out: a space in a class name ("no such command", another fault), letters outside ASCII, a dot or a hyphen in names (the same fault with plain names). Lines to blame: `_ => {}` in rpc::fields and lines::want, which had no field for it. Change: the mark is read (refused if it can't stand in a line), kept as Asked::idempotency_key and written to the host under its own name. Test: a_clients_mark_against_repeats_goes_on_with_each_attempt; with lines.rs reverted it fails. World moved to tests/world, shared by test files.

--- a/crates/flaxdeck-dispatcher/tests/sockets.rs
+++ b/crates/flaxdeck-dispatcher/tests/sockets.rs
@@ -1,151 +1,16 @@
 //! Starts the built dispatcher in a toy world and speaks to it over loopback.
 
+mod world;
+
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::process::Command;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use flaxdeck_toy::{Answer, Client, Coordinator, Host, Manner, body_of, pull_message};
-use serde_json::{Value, json};
-
-const CONFIG: &str = include_str!("../../../examples/toy/config.json");
-const KEY: &str = "7f3a9c21e0b4d655";
-/// Long enough for anything that happens at all.
-const SOON: Duration = Duration::from_secs(10);
-
-/// A dispatcher among caches, a parent, the origin and a coordinator.
-struct World {
-    process: Child,
-    config: String,
-    /// The file that the configuration was read from.
-    path: PathBuf,
-    address: SocketAddr,
-    caches: Vec<Host>,
-    parent: Host,
-    origin: Host,
-    coordinator: Coordinator,
-}
-
-fn command(config: &str) -> Command {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    let name = format!("flaxdeck-{}-{}.json", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
-    let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, config).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_flaxdeck-dispatcher"));
-    command.env_remove("GW_LISTEN").env("GW_CONFIG", path).stderr(Stdio::piped());
-    command
-}
-
-/// The address that a line of the log tells.
-fn listening(line: &str) -> Option<SocketAddr> {
-    line.split("listening at ").nth(1)?.split(',').next()?.parse().ok()
-}
-
-impl World {
-    fn start(caches: u32) -> World {
-        World::with(caches, |_| {})
-    }
-
-    fn with(caches: u32, change: impl FnOnce(&mut Value)) -> World {
-        let host = |id: String| Host::start(&id, "127.0.0.1:0").unwrap();
-        let caches: Vec<Host> = (0..caches).map(|n| host(format!("s-0000ca0{n}"))).collect();
-        let (parent, origin) = (host("s-00009a01".into()), host("s-00000001".into()));
-        let coordinator = Coordinator::start("127.0.0.1:0", 1).unwrap();
-        let row = |host: &Host, class: &str, site: &str| {
-            json!({"host": host.id, "dial": host.address.to_string(), "site": site, "class": class,
-                "block": 0, "health": "Ready", "share": 4, "born_ms": 0})
-        };
-        let mut hosts: Vec<Value> = caches.iter().map(|cache| row(cache, "cache", "here")).collect();
-        hosts.extend([row(&parent, "parent", "hub"), row(&origin, "origin", "hub")]);
-        let mut config: Value = serde_json::from_str(CONFIG).unwrap();
-        config["listen"] = "127.0.0.1:0".into();
-        config["coordinator"] = coordinator.address.to_string().into();
-        config["known"]["updates"][0]["endpoints"]["hosts"] = hosts.into();
-        change(&mut config);
-        let config = config.to_string();
-        let mut command = command(&config);
-        let path = command.get_envs().find_map(|(name, value)| value.filter(|_| name == "GW_CONFIG"));
-        let path = PathBuf::from(path.unwrap());
-        let mut process = command.spawn().unwrap();
-        let mut lines = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
-        let address = lines.find_map(|line| listening(&line)).unwrap();
-        thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
-        World { process, config, path, address, caches, parent, origin, coordinator }
-    }
-
-    fn client(&self) -> Client {
-        Client::connect(self.address).unwrap()
-    }
-
-    /// Pulls one object on a connection of its own.
-    fn pull(&self, class: &str, key: &str, wait: u64, body: &[u8]) -> Answer {
-        let mut client = self.client();
-        client.pull(class, key, wait, body).unwrap();
-        client.answer().unwrap()
-    }
-
-    fn hosts(&self) -> impl Iterator<Item = &Host> {
-        self.caches.iter().chain([&self.parent, &self.origin])
-    }
-
-    fn signal(&self, name: &str) {
-        let kill = Command::new("sh").args(["-c", &format!("kill -{name} {}", self.process.id())]).status();
-        assert!(kill.unwrap().success());
-    }
-
-    fn terminate(&self) {
-        self.signal("TERM");
-    }
-
-    /// Whether a cache gets nothing of some new pulls that it would have its share of.
-    fn spares(&self, cache: &Host) -> bool {
-        let before = cache.heard("want").len();
-        (0..8).for_each(|n| drop(self.pull("page", &key(n), 2000, b"")));
-        cache.heard("want").len() == before
-    }
-}
-
-impl Drop for World {
-    fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
-    }
-}
-
-/// Opens so many pulls at once, of an object each, and takes their answers.
-fn pull_together(client: &mut Client, count: u32, wait: u64) -> Vec<Answer> {
-    for n in 0..count {
-        client.pull("page", &key(n), wait, b"").unwrap();
-    }
-    (0..count).map(|_| client.answer().unwrap()).collect()
-}
-
-fn finished(answer: &Answer, key: &str) -> bool {
-    matches!(answer, Answer::Served { body, .. } if *body == body_of(&format!("{key}.0")))
-}
-
-fn word(answer: Answer) -> String {
-    match answer {
-        Answer::Error { word, .. } => word,
-        other => format!("{other:?}"),
-    }
-}
-
-fn wait_for(what: &str, mut come: impl FnMut() -> bool) {
-    let start = Instant::now();
-    while !come() {
-        assert!(start.elapsed() < SOON, "{what}");
-        thread::sleep(Duration::from_millis(20));
-    }
-}
-
-fn key(number: u32) -> String {
-    format!("{number:016x}")
-}
+use flaxdeck_toy::{Answer, Client, Coordinator, Manner, pull_message};
+use serde_json::Value;
+use world::*;
 
 #[test]
 fn a_pull_is_finished_with_the_bytes_of_the_host_and_its_fields_go_on_unchanged() {
@@ -836,3 +701,28 @@
         assert!(proof || runs <= 1, "round {round}: sent {runs} times to an origin that may have run it");
     }
 }
+
+// Without its mark a deduplicated write is another one to its host, and its repeat would run again.
+#[test]
+fn a_clients_mark_against_repeats_goes_on_with_each_attempt() {
+    let world = World::with(1, |config| {
+        let class = &mut config["settings"]["request_classes"][2];
+        class["effect"] = "deduplicated".into();
+        class["key_scope"] = "all".into();
+        class["memory_span_ms"] = 2500.into();
+    });
+    world.origin.set(Manner::Say("full"));
+    let mark = "6ba245bd25e372d4b65f22998597a9da";
+    let fields = [("id", "9b1f03aa5c7e2d41"), ("wait", "1500"), ("key", KEY), ("slice", "0"), ("once", mark)];
+    let mut client = world.client();
+    client.send(&pull_message(1, "submit", &fields, b"a form")).unwrap();
+    wait_for("attempts", || world.origin.heard("want").len() > 1);
+    world.origin.set(Manner::Serve);
+    assert!(matches!(client.answer().unwrap(), Answer::Served { body, .. } if body == b"a form"));
+    let heard = world.origin.heard("want");
+    assert!(heard.iter().all(|(line, _)| line.contains(&format!(",once={mark} "))), "{heard:?}");
+    client
+        .send(&pull_message(2, "submit", &[fields[0], fields[1], fields[2], ("once", "a,b=c d")], b""))
+        .unwrap();
+    assert_eq!(word(client.answer().unwrap()), "once is no mark");
+}
--- a/crates/flaxdeck-wire/src/lib.rs
+++ b/crates/flaxdeck-wire/src/lib.rs
@@ -43,6 +43,8 @@
     pub again: bool,
     /// The tag of a copy that the client holds.
     pub holds: Option<Bytes>,
+    /// The mark by which hosts know a repeat of a deduplicated request; goes on as it came.
+    pub idempotency_key: Option<Bytes>,
     pub body: Bytes,
 }
 
--- a/crates/flaxdeck-wire/src/lines.rs
+++ b/crates/flaxdeck-wire/src/lines.rs
@@ -60,6 +60,9 @@
     if let Some(holds) = &asked.holds {
         put(format_args!(",holds={}", text(holds)));
     }
+    if let Some(key) = &asked.idempotency_key {
+        put(format_args!(",once={}", text(key)));
+    }
     put(format_args!(" {}\r\n", asked.body.len()));
     [out.freeze(), asked.body.clone(), Bytes::from_static(b"\r\n")]
 }
@@ -188,6 +191,7 @@
             waits: Span::from_ms(1500),
             again: false,
             holds: None,
+            idempotency_key: None,
             body: Bytes::new(),
         }
     }
--- a/crates/flaxdeck-wire/src/rpc.rs
+++ b/crates/flaxdeck-wire/src/rpc.rs
@@ -10,9 +10,9 @@
 use crate::{Answer, Asked, Malformed, Parsed};
 use flaxdeck_net::room::{MESSAGE_MOST, WRITE_MOST};
 
-/// Bytes of a field's name or value; the longest of the protocol are 16.
+/// Bytes of a field's name or value; the longest of the protocol are 32.
 const FIELD_MOST: usize = 256;
-/// Fields of a message; the protocol names eight.
+/// Fields of a message; the protocol knows nine.
 const FIELDS_MOST: usize = 64;
 /// Values of an empty `FIELDS`.
 const NO_FIELDS: u8 = 0x80;
@@ -58,6 +58,7 @@
     waits_ms: Option<f64>,
     again: bool,
     holds: Option<Range<usize>>,
+    idempotency_key: Option<Range<usize>>,
     body: Range<usize>,
 }
 
@@ -152,6 +153,8 @@
             "kb" => draft.size_kb = Some(number(value).ok_or(Stop::Bad("kb is no number"))?),
             "seen" if word(value) => draft.holds = Some(place),
             "seen" => return Err(Stop::Bad("seen is no tag")),
+            "once" if word(value) => draft.idempotency_key = Some(place),
+            "once" => return Err(Stop::Bad("once is no mark")),
             _ => {}
         }
     }
@@ -173,6 +176,7 @@
         waits: Span::of_ms(draft.waits_ms.ok_or("wait is no number")?),
         again: draft.again,
         holds: draft.holds.map(slice),
+        idempotency_key: draft.idempotency_key.map(slice),
         body: slice(draft.body),
     })
 }
@@ -251,7 +255,7 @@
     use crate::tests::names;
     use flaxdeck_toy::pull_message;
 
-    const FIELDS: [(&str, &str); 8] = [
+    const FIELDS: [(&str, &str); 9] = [
         ("id", "9b1f03aa5c7e2d41"),
         ("wait", "1500"),
         ("retry", "1"),
@@ -260,6 +264,7 @@
         ("set", "17"),
         ("kb", "412.5"),
         ("seen", "4be0c1927d55a6f3"),
+        ("once", "6ba245bd25e372d4b65f22998597a9da"),
     ];
 
     #[test]
@@ -284,6 +289,7 @@
             waits: Span::from_ms(1500),
             again: true,
             holds: Some("4be0c1927d55a6f3".into()),
+            idempotency_key: Some("6ba245bd25e372d4b65f22998597a9da".into()),
             body: "a form".into(),
         };
         for _ in 0..2 {
