An attempt is cleared again once its connection is up: drains, purges, windows, leaving

Cause: harbour-manifests, whose connect time (600 ms) is longer than its drain grace (400 ms) and its window for repeats (350 ms). Ruled out: late lists (told times are the process's own), the fence of taken back attempts. Lines to blame: Pool::ask, which decides first, connects, and writes what was decided. Change: Brain::clear is asked before a connection is looked for and again right before the first byte, with no await between: the hosts still in service (fill source too), the purge's age limit anew, the window of a deduplicated request, the deadline, a cold host's budget at the time of sending, the client still there. What no longer stands ends as Superseded, which proves that nothing ran and blames nobody; connecting and writing end with the window. `wait` names what is left after the connect. A request is boxed between parser and routing, as it has grown. Tests: tests/connects.rs, six crossings, over a host whose queue is full until it is opened; five fail with Brain::clear giving what was decided, the sixth with `wait` as decided.

--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxdeck::words::{Coverage, Ending, HostId, Span, Standing};
+use flaxdeck::words::{Coverage, Ending, HostId, Standing};
 use flaxdeck_terms::{Carriage, Names};
 use tokio::task::spawn_local;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -150,34 +150,48 @@
         }
     }
 
-    /// Sends a pull to a host and waits for its answer, no longer than allowed; gives the place that the answer's
-    /// bytes hold as well.
-    pub async fn ask(
+    /// Sends a request to a host and waits for its answer until that time; gives the place that the answer's bytes
+    /// hold as well. Whether it still stands is asked before a connection is looked for and again right before the
+    /// first byte: what it may ask for, and by when its last byte has to be written, can change meanwhile.
+    pub async fn ask<'a>(
         self: &Rc<Pool>,
         host: &HostId,
         asked: &Asked,
-        wish: Wish<'_>,
+        until: Instant,
+        clear: impl Fn() -> Option<(Wish<'a>, Instant)>,
     ) -> (Outcome, Option<Place>) {
         let bare = |ending| (Outcome::bare(ending), None);
-        let until = Instant::now() + length(wish.waits);
+        let Some((wish, sent_by)) = clear() else { return bare(Ending::Superseded) };
         let kept = if wish.fresh { None } else { self.kept_idle(host) };
         let conn = match kept {
             Some(conn) => conn,
-            None => match self.connect(host, wish.waits).await {
+            None => match self.connect(host, sent_by).await {
                 Ok(conn) => conn,
                 Err(ending) => return bare(ending),
             },
         };
+        let Some((wish, sent_by)) = clear() else {
+            count(Count::superseded);
+            log::debug!("{} no longer to be sent to {}", String::from_utf8_lossy(&asked.id), host.0);
+            self.keep(host, conn);
+            return bare(Ending::Superseded);
+        };
         let mut open =
             Open { pool: self, host, id: &asked.id, alone: wish.fresh, conn: Some(conn), written: false };
         let conn = open.conn.as_mut().expect("just put");
         conn.outbound.send(lines::want(asked, &wish), [None, None]);
-        if !matches!(timeout_at(until, conn.outbound.flush()).await, Ok(Ok(()))) {
+        let flushed = timeout_at(sent_by, conn.outbound.flush()).await;
+        if !matches!(flushed, Ok(Ok(()))) {
             // The last byte was never written, so nothing ran; half a request ends with its connection.
-            if open.conn.take().is_some_and(|conn| conn.reused) {
+            let reused = open.conn.take().is_some_and(|conn| conn.reused);
+            if reused {
                 self.forget_idle(host);
                 return bare(Ending::NotSent);
             }
+            if flushed.is_err() && sent_by < until {
+                count(Count::superseded);
+                return bare(Ending::Superseded);
+            }
             count(Count::hosts_unreached);
             return bare(Ending::NotConnected);
         }
@@ -224,13 +238,14 @@
         self.kept.borrow_mut().get_mut(host).into_iter().for_each(|kept| kept.idle.clear());
     }
 
-    async fn connect(&self, host: &HostId, waits: Span) -> Result<Conn, Ending> {
+    async fn connect(&self, host: &HostId, sent_by: Instant) -> Result<Conn, Ending> {
         let address = self.kept.borrow().get(host).map(|kept| kept.address).ok_or(Ending::NotSent)?;
         let place = self.place().ok_or_else(|| {
             count(Count::hosts_no_room);
             Ending::NotSent
         })?;
-        match timeout(self.connect_within.min(length(waits)), link::connect(address)).await {
+        let by = Instant::now() + self.connect_within;
+        match timeout_at(by.min(sent_by), link::connect(address)).await {
             Ok(Ok((inbound, outbound))) => {
                 count(Count::hosts_connected);
                 let (used, reused) = (Instant::now(), false);
@@ -241,6 +256,11 @@
                 log::debug!("{} at {address}: {error}", host.0);
                 Err(Ending::NotConnected)
             }
+            Err(_) if sent_by < by => {
+                // The host is no worse for it: it had less time than a connection may take.
+                count(Count::superseded);
+                Err(Ending::Superseded)
+            }
             Err(_) => {
                 count(Count::hosts_unreached);
                 log::debug!("{} at {address}: no connection in time", host.0);
--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -27,7 +27,7 @@
 pub enum Heard {
     Pull {
         call: u32,
-        asked: Asked,
+        asked: Box<Asked>,
     },
     Cancel {
         call: u32,
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -131,6 +131,11 @@
         self.facade.borrow_mut().pick(pull)
     }
 
+    /// Whether an attempt may still be sent, and what it may ask for by now.
+    fn clear(&self, pull: PullId, leg: Leg) -> Option<Clearance> {
+        self.facade.borrow_mut().clear(self.clock.now(), pull, leg)
+    }
+
     fn has_id(&self, id: &Bytes) -> bool {
         self.ids.borrow().contains(id)
     }
@@ -157,11 +162,16 @@
     fn apply(&self, event: Event) {
         match event {
             Event::Hosts(coverage, stations) => {
+                // A whole list is long, and the first comes before the process listens.
+                for station in stations.iter().filter(|_| coverage == Coverage::Changes) {
+                    log::debug!("told: {} {:?}", station.listed.host.0, station.listed.standing);
+                }
                 self.pool.list(coverage, &stations);
                 let lines = stations.into_iter().map(|station| station.listed).collect();
                 self.report_lines(coverage, lines);
             }
             Event::Purged { object, group, made } => {
+                log::debug!("told: a purge of {object:?} in {group:?}");
                 self.report(News::Purged { object, group, made: self.purged_at(made) });
             }
         }
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -9,6 +9,7 @@
 
 use super::{Router, Seat};
 use crate::protocol::session::Reply;
+use flaxdeck_net::clock::length;
 use flaxdeck_net::room::Place;
 use flaxdeck_net::tally::{Count, count, must};
 use flaxdeck_wire::{Answer, Asked, Outcome, Wish};
@@ -36,7 +37,7 @@
 
 impl Router {
     /// Takes a pull in; its task gives the answer.
-    pub(super) fn take(self: &Rc<Router>, asked: Asked, reply: Reply, held: Place) -> PullId {
+    pub(super) fn take(self: &Rc<Router>, asked: Box<Asked>, reply: Reply, held: Place) -> PullId {
         let (id, now) = (PullId(self.next.get()), self.clock.now());
         self.next.set(id.0 + 1);
         count(Count::pulls);
@@ -54,7 +55,7 @@
         self.table.borrow_mut().insert(id, seat.clone());
         must(self.ids.borrow_mut().insert(asked.id.clone()), "open pulls differ by their ids");
         self.report(News::Arrived(pull));
-        let (router, asked, reply) = (self.clone(), Rc::new(asked), Some(reply));
+        let (router, asked, reply) = (self.clone(), Rc::from(asked), Some(reply));
         let (out, tasks) = (Vec::new(), JoinSet::new());
         let ride = Ride { router, id, asked, _held: held, seat, reply, out, tasks };
         spawn_local(ride.run());
@@ -78,6 +79,7 @@
         loop {
             if self.seat.left.get() && self.reply.take().is_some() {
                 count(Count::left);
+                log::debug!("left: pull {}", self.id.0);
                 self.close();
                 self.router.report(News::Left(self.id));
             }
@@ -133,19 +135,25 @@
         let (to, from, allow) = (&hand_off.host.0, &hand_off.source.0, hand_off.allow.ms());
         log::debug!("pull {} leg {} to {to} filled from {from} within {allow} ms", self.id.0, leg.0);
         let (router, asked, host) = (self.router.clone(), self.asked.clone(), hand_off.host.clone());
+        let (id, until) = (self.id, Instant::now() + length(hand_off.allow));
         let task = self.tasks.spawn_local(async move {
-            let wish = Wish {
-                class: &router.names.workloads[asked.workload.0],
-                waits: hand_off.allow,
-                source: Some(&hand_off.source).filter(|source| **source != hand_off.host),
-                keep: hand_off.keep,
-                fresh: hand_off.fresh,
-                oldest: hand_off.oldest,
-                join: hand_off.join,
-                only_held: hand_off.only_held,
-                renew: hand_off.renew,
+            let clear = || {
+                let Clearance { oldest, sent_by } = router.clear(id, leg)?;
+                let waits = until.checked_duration_since(Instant::now())?;
+                let wish = Wish {
+                    class: &router.names.workloads[asked.workload.0],
+                    waits: Span::of_ms(waits.as_secs_f64() * 1000.0),
+                    source: Some(&hand_off.source).filter(|source| **source != hand_off.host),
+                    keep: hand_off.keep,
+                    fresh: hand_off.fresh,
+                    oldest,
+                    join: hand_off.join,
+                    only_held: hand_off.only_held,
+                    renew: hand_off.renew,
+                };
+                Some((wish, until.min(router.clock.instant(sent_by))))
             };
-            (leg, router.pool.ask(&hand_off.host, &asked, wish).await)
+            (leg, router.pool.ask(&hand_off.host, &asked, until, clear).await)
         });
         self.out.push(Out { leg, host, sent: Instant::now(), task });
     }
--- /dev/null
+++ b/crates/flaxdeck-dispatcher/tests/connects.rs
@@ -0,0 +1,156 @@
+//! What comes to be known while a connection to a host is on its way up: whoever is asked after it must be asked by what
+//! holds then. A host whose queue is full takes no connection until it is opened.
+
+mod world;
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use flaxdeck_toy::{Client, Host};
+use serde_json::Value;
+use world::*;
+
+/// A world whose first cache takes no connection yet, and that waits longer for one than the system's first two tries.
+fn clogged_cache(change: impl FnOnce(&mut Value)) -> (World, Clogged, Host) {
+    let mut clogged = Clogged::start();
+    clogged.clog();
+    let world = World::with(2, |config| {
+        config["known"]["updates"][0]["endpoints"]["hosts"][0]["dial"] = clogged.address.to_string().into();
+        config["settings"]["allowed"]["connect_timeout_ms"] = 5000.into();
+        // A request takes a second to send by these settings, so none is overdue before its connection is up.
+        config["settings"]["family_info"]["client_kb_per_s"] = 50.into();
+        for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+            class["objective_ms"] = 6000.into();
+            class["deadline_ms"] = 8000.into();
+        }
+        change(config);
+    });
+    let mut host = world.caches[0].clone();
+    host.address = clogged.address;
+    (world, clogged, host)
+}
+
+/// Asks for objects, the first of that number, until one is on its way to the first cache; gives its client and number.
+fn on_its_way(world: &World, first: u32) -> (Client, u32) {
+    for n in first..first + 64 {
+        let mut client = world.client();
+        client.pull("page", &key(n), 7000, b"").unwrap();
+        let decided = |cache: &str| {
+            let words = [&*format!("pull {n} leg 0 to"), cache];
+            world.log.lock().unwrap().iter().any(|line| words.iter().all(|word| line.contains(word)))
+        };
+        wait_for("decided", || decided("to s-0000ca00") || decided("to s-0000ca01"));
+        if decided("to s-0000ca00") {
+            return (client, n);
+        }
+    }
+    panic!("no object of 64 belongs to the first cache");
+}
+
+// Rule 3: nothing new to a host that drains or is gone, or with it as fill source, whatever was decided before.
+#[test]
+fn a_host_that_drains_while_its_connection_comes_up_gets_nothing() {
+    for state in [1, 2] {
+        let (mut world, clogged, host) = clogged_cache(|_| {});
+        let (mut client, n) = on_its_way(&world, 0);
+        world.coordinator.change(&host, state, 0, 0);
+        world.logged(&["told: s-0000ca00"]);
+        clogged.open();
+        assert!(finished(&client.answer().unwrap(), &key(n)));
+        assert_eq!(clogged.heard(), Vec::<String>::new(), "state {state}");
+    }
+}
+
+#[test]
+fn a_fill_source_that_drains_while_a_connection_comes_up_is_not_named() {
+    let (mut world, clogged, _) = clogged_cache(|_| {});
+    let (mut client, n) = on_its_way(&world, 0);
+    let parent = world.parent.clone();
+    world.coordinator.change(&parent, 1, 1, 1);
+    world.logged(&["told: s-00009a01"]);
+    clogged.open();
+    assert!(finished(&client.answer().unwrap(), &key(n)));
+    let heard = clogged.heard();
+    assert!(heard.iter().all(|line| !line.contains("fetch=s-00009a01")), "{heard:?}");
+}
+
+// Rule 5: the age limit is the one that holds when the request is written.
+#[test]
+fn a_purge_told_while_a_connection_comes_up_binds_the_request() {
+    let (mut world, clogged, _) = clogged_cache(|_| {});
+    let (mut client, n) = on_its_way(&world, 0);
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+    world.coordinator.purge_object(u64::from_str_radix(&key(n), 16).unwrap(), now);
+    world.logged(&["told: a purge"]);
+    clogged.open();
+    assert!(finished(&client.answer().unwrap(), &key(n)));
+    let heard = clogged.heard();
+    assert!(!heard.is_empty() && heard.iter().all(|line| line.contains(",newer=")), "{heard:?}");
+}
+
+// How long the host is told that the dispatcher waits is what is left by then.
+#[test]
+fn the_time_that_a_connection_took_is_not_promised_to_the_host() {
+    let (world, clogged, _) = clogged_cache(|_| {});
+    let (mut client, n) = on_its_way(&world, 0);
+    clogged.open();
+    assert!(finished(&client.answer().unwrap(), &key(n)));
+    let heard = clogged.heard();
+    let wait = |line: &String| line.split(",wait=").nth(1)?.split([',', ' ']).next()?.parse::<u64>().ok();
+    assert!(heard.iter().all(|line| wait(line).is_some_and(|ms| ms < 6500)), "of 7000: {heard:?}");
+}
+
+// A client that has left while its request waited for a connection: nothing is sent on for it, whether or not attempts
+// may be taken back.
+#[test]
+fn what_its_client_left_while_a_connection_came_up_is_not_sent_on() {
+    for (may_cancel, closes) in [(true, false), (true, true), (false, false), (false, true)] {
+        let (world, clogged, _) =
+            clogged_cache(|config| config["settings"]["allowed"]["cancel"] = may_cancel.into());
+        let (mut client, n) = on_its_way(&world, 0);
+        if !closes {
+            client.cancel(1).unwrap();
+        }
+        let client = Some(client).filter(|_| !closes);
+        world.logged(&["left: "]);
+        // Its connection is tried again later than the other's was.
+        let (mut next, after) = on_its_way(&world, n + 1);
+        clogged.open();
+        assert!(finished(&next.answer().unwrap(), &key(after)));
+        let heard = clogged.heard();
+        assert!(
+            !heard.is_empty() && !heard.iter().any(|line| line.contains(&key(n))),
+            "{may_cancel}, {heard:?}"
+        );
+        drop(client);
+    }
+}
+
+// Rule 2: past the window in which repeats are dropped a deduplicated request is not sent again, however long its
+// connection took.
+#[test]
+fn a_connection_that_outlasts_the_window_of_repeats_carries_none() {
+    let mut clogged = Clogged::start();
+    let world = World::with(1, |config| {
+        config["known"]["updates"][0]["endpoints"]["hosts"][2]["dial"] = clogged.address.to_string().into();
+        config["settings"]["allowed"]["connect_timeout_ms"] = 5000.into();
+        let class = &mut config["settings"]["request_classes"][2];
+        (class["effect"], class["key_scope"]) = ("deduplicated".into(), "all".into());
+        (class["memory_span_ms"], class["deadline_ms"]) = (700.into(), 6000.into());
+    });
+    let mut client = world.client();
+    client.pull("submit", KEY, 5000, b"a form").unwrap();
+    let mut first = clogged.accept();
+    assert!(read_want(&mut first).is_some(), "the first attempt arrives");
+    let ran = std::time::Instant::now();
+    clogged.clog();
+    drop(first);
+    assert_eq!(word(client.answer().unwrap()), "Backoff");
+    assert!(
+        ran.elapsed() < Duration::from_millis(1000),
+        "answered once nothing may follow: {:?}",
+        ran.elapsed()
+    );
+    clogged.open();
+    assert!(client.quiet_for(Duration::from_millis(1500)));
+    assert_eq!(clogged.heard(), Vec::<String>::new());
+}
--- a/crates/flaxdeck-dispatcher/tests/world/mod.rs
+++ b/crates/flaxdeck-dispatcher/tests/world/mod.rs
@@ -1,11 +1,12 @@
 //! A toy world round the built dispatcher, shared by the test files.
 #![allow(dead_code)] // each of them uses a part
 
-use std::io::{BufRead, BufReader};
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -28,6 +29,8 @@
     pub parent: Host,
     pub origin: Host,
     pub coordinator: Coordinator,
+    /// What the process has logged.
+    pub log: Arc<Mutex<Vec<String>>>,
 }
 
 pub fn command(config: &str) -> Command {
@@ -73,8 +76,15 @@
         let mut process = command.spawn().unwrap();
         let mut lines = BufReader::new(process.stderr.take().unwrap()).lines().map_while(Result::ok);
         let address = lines.find_map(|line| listening(&line)).unwrap();
-        thread::spawn(move || lines.for_each(|line| eprintln!("{line}")));
-        World { process, config, path, address, caches, parent, origin, coordinator }
+        let log: Arc<Mutex<Vec<String>>> = Arc::default();
+        let keeps = log.clone();
+        thread::spawn(move || {
+            lines.for_each(|line| {
+                eprintln!("{line}");
+                keeps.lock().unwrap().push(line);
+            })
+        });
+        World { process, config, path, address, caches, parent, origin, coordinator, log }
     }
 
     pub fn client(&self) -> Client {
@@ -101,6 +111,12 @@
         self.signal("TERM");
     }
 
+    /// Waits until the log has a line with all these words.
+    pub fn logged(&self, words: &[&str]) {
+        let has = |line: &String| words.iter().all(|word| line.contains(word));
+        wait_for(&format!("a log line with {words:?}"), || self.log.lock().unwrap().iter().any(has));
+    }
+
     /// Whether a cache gets nothing of some new pulls that it would have its share of.
     pub fn spares(&self, cache: &Host) -> bool {
         let before = cache.heard("want").len();
@@ -146,3 +162,99 @@
 pub fn key(number: u32) -> String {
     format!("{number:016x}")
 }
+
+/// A host at which connections come up late: nobody accepts and its queue is full, until it is opened.
+pub struct Clogged {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// What fills the queue.
+    stuffing: Vec<TcpStream>,
+    /// The requests that have come, by their first lines.
+    heard: Arc<Mutex<Vec<String>>>,
+}
+
+impl Clogged {
+    /// One whose queue has room as yet.
+    pub fn start() -> Clogged {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        Clogged { address, listener, stuffing: Vec::new(), heard: Arc::default() }
+    }
+
+    /// Fills the queue, so that the next connection comes up only once this is opened: the system tries again about a
+    /// second after the first try.
+    pub fn clog(&mut self) {
+        while let Ok(stream) = TcpStream::connect_timeout(&self.address, Duration::from_millis(100)) {
+            self.stuffing.push(stream);
+            assert!(self.stuffing.len() < 5000, "the queue has a bound");
+        }
+    }
+
+    /// Takes the next connection that is not stuffing; the queue must not be full.
+    pub fn accept(&self) -> TcpStream {
+        let own: Vec<SocketAddr> = self.stuffing.iter().map(|stream| stream.local_addr().unwrap()).collect();
+        loop {
+            let (stream, from) = self.listener.accept().unwrap();
+            if !own.contains(&from) {
+                return stream;
+            }
+        }
+    }
+
+    /// Takes whoever waits and comes, and serves each request.
+    pub fn open(&self) {
+        let (listener, heard) = (self.listener.try_clone().unwrap(), self.heard.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let heard = heard.clone();
+                thread::spawn(move || {
+                    let mut stream = stream;
+                    while let Some((line, body)) = read_want(&mut stream) {
+                        heard.lock().unwrap().push(line.clone());
+                        serve(&mut stream, &line, &body);
+                    }
+                });
+            }
+        });
+    }
+
+    pub fn heard(&self) -> Vec<String> {
+        self.heard.lock().unwrap().clone()
+    }
+}
+
+/// The next request of a connection with its body; none once it has ended. Other commands are passed over.
+pub fn read_want(stream: &mut TcpStream) -> Option<(String, Vec<u8>)> {
+    loop {
+        let mut line = Vec::new();
+        while !line.ends_with(b"\r\n") {
+            let mut byte = [0];
+            stream.read_exact(&mut byte).ok()?;
+            line.push(byte[0]);
+        }
+        let line = String::from_utf8(line).unwrap().trim_end().to_owned();
+        if line.starts_with("want ") {
+            let length: usize = line.rsplit(' ').next().unwrap().parse().unwrap();
+            let mut body = vec![0; length + 2];
+            stream.read_exact(&mut body).ok()?;
+            body.truncate(length);
+            return Some((line, body));
+        }
+        if let Some(tag) = line.strip_prefix("there ") {
+            stream.write_all(format!("{tag} well - 0\r\n\r\n").as_bytes()).ok()?;
+        }
+    }
+}
+
+/// Answers a request as the toy's hosts do.
+pub fn serve(stream: &mut TcpStream, line: &str, sent: &[u8]) {
+    let field = |name: &str| line.split([' ', ',']).find_map(|word| word.strip_prefix(name)).unwrap_or("");
+    let id = line.split(' ').nth(1).unwrap();
+    let body = if sent.is_empty() {
+        body_of(&format!("{}.{}", field("key="), field("part=")))
+    } else {
+        sent.to_vec()
+    };
+    let head = format!("{id} data version=v1,how=hit {}\r\n", body.len());
+    let _ = stream.write_all(&[head.as_bytes(), &body, b"\r\n"].concat()); // whoever asked may have gone
+}
--- a/crates/flaxdeck-net/src/tally.rs
+++ b/crates/flaxdeck-net/src/tally.rs
@@ -31,6 +31,7 @@
     left,
     hand_offs,
     taken_back,
+    superseded,
     hosts_connected,
     hosts_refused,
     hosts_unreached,
--- a/crates/flaxdeck-wire/src/rpc.rs
+++ b/crates/flaxdeck-wire/src/rpc.rs
@@ -23,7 +23,7 @@
 pub enum Said {
     Pull {
         call: u32,
-        asked: Asked,
+        asked: Box<Asked>,
     },
     Alive {
         call: u32,
@@ -75,7 +75,7 @@
     let message = buffer.split_to(used).freeze();
     Ok(Parsed::Whole(match draft {
         Draft::Pull(call, draft) => match asked(&message, draft) {
-            Ok(asked) => Said::Pull { call, asked },
+            Ok(asked) => Said::Pull { call, asked: Box::new(asked) },
             Err(why) => Said::Invalid { call, why },
         },
         Draft::Done(said) => said,
@@ -293,7 +293,7 @@
             body: "a form".into(),
         };
         for _ in 0..2 {
-            let whole = Parsed::Whole(Said::Pull { call: 7, asked: asked.clone() });
+            let whole = Parsed::Whole(Said::Pull { call: 7, asked: Box::new(asked.clone()) });
             let before = buffer.len();
             assert_eq!(parse(&mut buffer, &names()), Ok(whole));
             assert_eq!(before - buffer.len(), message.len());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -314,6 +314,30 @@
         self.hosts.values().map(sight).collect()
     }
 
+    /// Whether a hand-off may still be sent now that its connection is up, and what it may ask for by now.
+    // Guards against a connect that outlasts a grace, a window or the pull: the rules bind what is sent.
+    pub fn clear(&mut self, now: Time, id: PullId, leg: Leg) -> Option<Clearance> {
+        self.now = now;
+        let held = self.pulls.get(&id).filter(|held| !held.done && self.vouched)?;
+        let out = held.out.iter().find(|out| out.leg == leg)?;
+        let (kind, ids) = (&self.kinds[held.pull.workload.0], BTreeSet::from([&out.host, &out.source]));
+        let older = if out.source == out.host { kind.of.older } else { Span::ZERO };
+        let oldest = self.oldest(&held.pull, kind.of.fresh, older);
+        let window = match (kind.of.repeats, &held.ran) {
+            (Repeats::Numbered { remembered, .. }, Some((sent, _))) => *sent + remembered,
+            _ => Time::NEVER,
+        };
+        let sent_by = window.min(held.pull.hard_stop) - self.early;
+        for id_of in ids {
+            let host = self.hosts.get_mut(id_of).filter(|host| host.line.standing == Standing::InService)?;
+            let spent = host.spent.iter_mut().find(|(_, pull, leg_of, _)| (*pull, *leg_of) == (id, leg));
+            let counts = spent.map(|spent| spent.0 = now).is_some(); // not with a process started since
+            let (host, warm) = (&self.hosts[id_of], self.asked(&self.hosts[id_of], now).0 >= 1.0);
+            (warm || host.is(Role::Origin) || (counts && self.cold_room(host, 0.0))).then_some(())?;
+        }
+        (now < sent_by).then_some(Clearance { oldest, sent_by })
+    }
+
     /// A hand-off has ended.
     pub fn hand_off_ended(&mut self, now: Time, ended: Ended) -> Decisions {
         self.now = now;
@@ -336,7 +360,7 @@
             && (!full || origin_well)
         {
             held.tried.push(out.source.clone());
-        } else if !lacking && !full && ended.ending != Stale {
+        } else if !lacking && !full && !matches!(ended.ending, Stale | Superseded) {
             held.tried.push(out.host.clone());
         }
         let cached = self.hosts.get(&out.host).is_none_or(|host| host.is(Role::Cache));
@@ -378,7 +402,7 @@
 
     // What the ended hand-off gives back: places, and a cold source's budget that a hit left alone.
     fn release(&mut self, out: &Out, ended: &Ended, cached: bool) {
-        let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent);
+        let alive = !matches!(ended.ending, TimedOut | NotConnected | Cancelled | NotSent | Superseded);
         self.hear_link(ended.report.link.filter(|_| cached));
         for id in BTreeSet::from([&out.host, &out.source]) {
             let Some(host) = self.hosts.get_mut(id) else { continue };
--- a/src/facade.rs
+++ b/src/facade.rs
@@ -95,6 +95,11 @@
         self.sort(decisions)
     }
 
+    /// Whether a hand-off that was picked may still be sent, and what it may ask for by now.
+    pub fn clear(&mut self, now: Time, pull: PullId, leg: Leg) -> Option<Clearance> {
+        self.brain.clear(now, pull, leg)
+    }
+
     /// What was seen of each host here, for others to hear.
     pub fn sights(&self, now: Time) -> Vec<Sight> {
         self.brain.sights(now)
--- a/src/words.rs
+++ b/src/words.rs
@@ -227,6 +227,8 @@
     Stale,
     Cancelled,
     NotSent,
+    /// Not sent, as by the time it could be written it was no longer to be.
+    Superseded,
     NoCopy,
 }
 
@@ -234,7 +236,7 @@
     /// Proof that nothing ran.
     pub fn never_ran(self) -> bool {
         use Ending::*;
-        matches!(self, TurnedAway | NotConnected | NotSent | NoCopy)
+        matches!(self, TurnedAway | NotConnected | NotSent | Superseded | NoCopy)
     }
 }
 
@@ -308,6 +310,15 @@
     pub keep: u8,
 }
 
+/// What an attempt that still stands may ask for by now, its connection having taken a while to come up.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Clearance {
+    /// The oldest copy that will do; none for the workload's fresh time.
+    pub oldest: Option<Span>,
+    /// When its last byte has to be written: past that it may not run any more.
+    pub sent_by: Time,
+}
+
 /// A final answer that the dispatcher gives itself.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Final {
