Ends half-close and drain; what a client says is read on; room goes round in turn

Cause, found by reading and shown by tests over loopback, one by one against the sources before this commit: - The process and every connection ended here was dropped as it stood (`serve` in program/mod.rs, `listen` in clients.rs): a close over unread bytes resets, and answers that the client had not read went with it (the 15th to 20th of 20 answers of 40 KB; at the process's end "reset" in place of an end). - at_rest looked at slots and the accept queue alone, so a request of which half had come was left behind 0.73 s after SIGTERM. - Session::wait read nothing while 64 answers lay unread or memory was full, so a cancel behind them came late or never; a write that found no memory cost its client the connection after 2 s (`clients_not_whole`), with all its other requests. - Without leave to cancel, a connection that came up for a client that had left was waited for and kept. - Room::wait_for let every small wish pass a large one (a 230 KB answer starved beside six clients of 30 KB ones); asked and answered bytes shared one room, so seven writes of 40 KB held all of it and waited for it until their deadlines. - A frame of the coordinator that comes byte by byte began its time-out anew with each byte. Ruled out: Stale as proof that nothing ran (`never_ran` does not hold it; recorded in words.rs); Outbound::close with answers queued (its two callers look for none first; now it drops none). Change: link::end writes what is queued, shuts the writing side, reads and drops until the other side has ended, 0.5 s at most; eight at a time beside the places of clients, the longest at it goes first; at the process's end all, until 50 ms before the earliest SIGKILL. A planned end waits for half a message. What a client says is always read; answers past 64 in its queue are owed by number, past 1,024 it is closed as flooding. A write that finds no memory for 100 ms is read past and refused. What was not begun is dropped with its client. Rooms are first come, first served; asked bytes have a sixth of the room, as the largest write is a sixth of it and the largest object together. The feed counts from the last whole frame or the first byte of one. Counters: clients_flooding, left_unsent.

--- a/crates/flaxdeck-dispatcher/src/program/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/program/mod.rs
@@ -102,6 +102,10 @@
         sleep(LOOK).await;
         rests = if router.at_rest() { rests + 1 } else { 0 };
     }
+    router.end_clients();
+    while !router.is_alone() && clock.now() < ends + SPARE * 0.75 {
+        sleep(LOOK).await;
+    }
     log_line(&router);
     router.keep_last();
     Ok(())
--- a/crates/flaxdeck-dispatcher/src/protocol/pool.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/pool.rs
@@ -1,7 +1,7 @@
 //! Connections to hosts. Each hand-off has a connection of its own while it is out, so that no large answer
 //! holds up a small one and giving one up disturbs no other; afterwards the connection is kept for the next.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -152,13 +152,15 @@
 
     /// Sends a request to a host and waits for its answer until that time; gives the place that the answer's bytes
     /// hold as well. Whether it still stands is asked before a connection is looked for and again right before the
-    /// first byte: what it may ask for, and by when its last byte has to be written, can change meanwhile.
+    /// first byte: what it may ask for, and by when its last byte has to be written, can change meanwhile. Until `begun`
+    /// is set nothing has been written.
     pub async fn ask<'a>(
         self: &Rc<Pool>,
         host: &HostId,
         asked: &Asked,
         until: Instant,
         clear: impl Fn() -> Option<(Wish<'a>, Instant)>,
+        begun: &Cell<bool>,
     ) -> (Outcome, Option<Place>) {
         let bare = |ending| (Outcome::bare(ending), None);
         let Some((wish, sent_by)) = clear() else { return bare(Ending::Superseded) };
@@ -179,6 +181,7 @@
         let mut open =
             Open { pool: self, host, id: &asked.id, alone: wish.fresh, conn: Some(conn), written: false };
         let conn = open.conn.as_mut().expect("just put");
+        begun.set(true);
         conn.outbound.send(lines::want(asked, &wish), [None, None]);
         let flushed = timeout_at(sent_by, conn.outbound.flush()).await;
         if !matches!(flushed, Ok(Ok(()))) {
--- a/crates/flaxdeck-dispatcher/src/protocol/session.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/session.rs
@@ -1,24 +1,33 @@
 //! One client's connection.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Buf;
+use flaxdeck::words::Span;
 use flaxdeck_terms::Names;
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use flaxdeck_net::link::{self, Inbound, Outbound};
-use flaxdeck_net::room::{Place, Room};
+use flaxdeck_net::room::{Place, Room, SMALL};
 use flaxdeck_net::tally::{Count, count};
 use flaxdeck_wire::rpc::{self, Said};
 use flaxdeck_wire::{Answer, Asked, Parsed};
 
 /// How long a client may take nothing of what waits for it, which holds memory that others could use.
 const STALLED: Duration = Duration::from_secs(3);
-/// Answers left unread at which nothing more is read from a client: twice what it may have open.
+/// Answers queued for a client past which it is owed further ones by their numbers alone: twice what it may have open.
 const UNREAD_MOST: usize = 64;
 
+/// Answers owed to a client that takes none at which its connection is ended: far past what it may have open.
+const OWED_MOST: usize = 1024;
+/// How long a message may wait for memory before it is read past and refused: what its client says behind it, that it
+/// has left too, has to be heard in time.
+const FOR_MEMORY: Duration = Duration::from_millis(100);
+
 /// How long a whole message may take from its first byte, and the first one from the connection's start. Refusals
 /// are owed within 3 s of connecting, and a connection may have waited a while to be accepted.
 const WHOLE: Duration = Duration::from_millis(2000);
@@ -32,6 +41,10 @@
     Cancel {
         call: u32,
     },
+    /// A request that there was no memory for; it was read past.
+    Unheld {
+        call: u32,
+    },
     /// Something that needs no further answer.
     Other,
     /// The connection is of no more use.
@@ -48,6 +61,26 @@
     /// Since when a message is awaited that has to come: one that has begun, or the first of all.
     begun: Option<Instant>,
     midway: Rc<Cell<bool>>,
+    /// Since when a message waits for memory.
+    wants_memory: Option<Instant>,
+    /// The rest of a request that is read past, with its number.
+    passing: Option<(u32, usize)>,
+    /// What is owed to a client that takes no answers, beside what is queued for it.
+    owed: VecDeque<(u32, Word)>,
+}
+
+/// An answer that no host has a part in.
+pub enum Word {
+    Alive,
+    Refused(Option<Span>),
+    Failed(&'static str),
+}
+
+/// How a wait for a client ended.
+enum Waited {
+    Stirred,
+    NoMemory,
+    Over,
 }
 
 /// The one answer that a pull gets; it can be given once only.
@@ -96,7 +129,33 @@
     pub fn new(stream: TcpStream, names: Rc<Names>, bytes: Rc<Room>) -> Session {
         let (inbound, outbound) = link::split(stream);
         let (held, begun, midway) = (None, Some(Instant::now()), Rc::default());
-        Session { inbound, outbound, names, bytes, held, begun, midway }
+        let (wants_memory, passing, owed) = (None, None, VecDeque::new());
+        Session { inbound, outbound, names, bytes, held, begun, midway, wants_memory, passing, owed }
+    }
+
+    /// Answers what no host has to be asked for, or keeps it owed while the client takes nothing.
+    // Guards against a flood whose answers lie unread: what a client says is read on all the same, for it may leave.
+    pub fn tell(&mut self, call: u32, word: Word) {
+        self.owed.push_back((call, word));
+        self.pay();
+    }
+
+    fn pay(&mut self) {
+        while self.outbound.waiting() < UNREAD_MOST {
+            let Some((call, word)) = self.owed.pop_front() else { return };
+            let bytes = match word {
+                Word::Alive => rpc::alive(call),
+                Word::Refused(after) => rpc::error(call, "Backoff", after),
+                Word::Failed(why) => rpc::error(call, why, None),
+            };
+            self.outbound.send([bytes], [None, None]);
+        }
+    }
+
+    /// Ends the connection; see [`link::end`].
+    pub async fn end(mut self, within: Duration) {
+        self.outbound.close();
+        link::end(&mut self.inbound, &self.outbound, within).await;
     }
 
     /// What answers the pull of that number, with the place that it holds until the answer is written.
@@ -116,67 +175,113 @@
     /// The client's next word; meanwhile answers are written.
     pub async fn next(&mut self) -> Heard {
         loop {
+            self.pay();
             if self.outbound.is_closed() {
                 return Heard::Over;
             }
-            match rpc::parse(&mut self.inbound.bytes, &self.names) {
-                Ok(Parsed::Whole(said)) => {
-                    (self.begun, self.held) = (None, None);
-                    match said {
-                        Said::Pull { call, asked } => return Heard::Pull { call, asked },
-                        Said::Cancel { call } => return Heard::Cancel { call },
-                        Said::Alive { call } => self.outbound.send([rpc::alive(call)], [None, None]),
-                        Said::Invalid { call, why } => {
-                            count(Count::pulls_invalid);
-                            log::debug!("a client's request is invalid: {why}");
-                            self.outbound.send([rpc::error(call, why, None)], [None, None]);
-                        }
-                        Said::Nothing => {}
+            if self.owed.len() > OWED_MOST {
+                count(Count::clients_flooding);
+                return Heard::Over;
+            }
+            let more = match self.passing {
+                Some((call, 0)) => {
+                    (self.passing, self.begun, self.wants_memory) = (None, None, None);
+                    return Heard::Unheld { call };
+                }
+                Some((call, left)) => {
+                    let here = left.min(self.inbound.bytes.len());
+                    self.inbound.bytes.advance(here);
+                    self.passing = Some((call, left - here));
+                    if left == here {
+                        continue;
                     }
-                    return Heard::Other;
+                    SMALL.min(left - here)
                 }
-                Ok(Parsed::Short(more)) => {
-                    self.inbound.rest();
-                    self.midway.set(!self.inbound.bytes.is_empty());
-                    if !self.inbound.bytes.is_empty() {
-                        self.begun.get_or_insert_with(Instant::now);
+                None => match rpc::parse(&mut self.inbound.bytes, &self.names) {
+                    Ok(Parsed::Whole(said)) => {
+                        (self.begun, self.held, self.wants_memory) = (None, None, None);
+                        return self.heard(said);
                     }
-                    if !self.wait(more).await {
+                    Ok(Parsed::Short(more)) => more,
+                    Err(malformed) => {
+                        count(Count::clients_malformed);
+                        log::debug!("a client's connection is closed: {}", malformed.0);
                         return Heard::Over;
                     }
-                }
-                Err(malformed) => {
-                    count(Count::clients_malformed);
-                    log::debug!("a client's connection is closed: {}", malformed.0);
-                    return Heard::Over;
+                },
+            };
+            self.inbound.rest();
+            let midway = !self.inbound.bytes.is_empty() || self.passing.is_some();
+            self.midway.set(midway);
+            if midway {
+                self.begun.get_or_insert_with(Instant::now);
+            }
+            match self.wait(more).await {
+                Waited::Stirred => {}
+                Waited::Over => return Heard::Over,
+                Waited::NoMemory => {
+                    self.passing = rpc::lacks_body(&self.inbound.bytes);
+                    if self.passing.is_none() {
+                        count(Count::clients_malformed);
+                        log::debug!("a client's connection is closed: no memory for what is no request");
+                        return Heard::Over;
+                    }
+                    self.inbound.bytes.clear();
                 }
             }
         }
     }
 
-    async fn wait(&mut self, more: usize) -> bool {
-        let (pending, reads) = (self.outbound.pending(), self.outbound.waiting() < UNREAD_MOST);
+    fn heard(&mut self, said: Said) -> Heard {
+        match said {
+            Said::Pull { call, asked } => return Heard::Pull { call, asked },
+            Said::Cancel { call } => return Heard::Cancel { call },
+            Said::Alive { call } => self.tell(call, Word::Alive),
+            Said::Invalid { call, why } => {
+                count(Count::pulls_invalid);
+                log::debug!("a client's request is invalid: {why}");
+                self.tell(call, Word::Failed(why));
+            }
+            Said::Nothing => {}
+        }
+        Heard::Other
+    }
+
+    async fn wait(&mut self, more: usize) -> Waited {
+        let pending = self.outbound.pending();
+        let enough = if self.passing.is_some() { more } else { self.inbound.bytes.len() + more };
+        let waits = enough > SMALL && self.held.is_none();
+        let memory_by = waits.then(|| *self.wants_memory.get_or_insert_with(Instant::now) + FOR_MEMORY);
         let (inbound, held) = (&mut self.inbound, &mut self.held);
         let read = async {
-            self.bytes.hold(inbound.bytes.len() + more, held).await;
-            inbound.more(more).await
+            let room = self.bytes.hold(enough, held);
+            match memory_by {
+                Some(by) if timeout_at(by, room).await.is_err() => return Waited::NoMemory,
+                _ => {}
+            }
+            match inbound.more(more).await {
+                Ok(true) => Waited::Stirred,
+                _ => Waited::Over,
+            }
         };
         let whole_by = self.begun.map(|begun| begun + WHOLE);
         // Counted from when something began to wait: a connection may have been up for long by then.
         let stalled = self.outbound.stuck_since().map(|since| since + STALLED);
         let now = Instant::now;
         tokio::select! {
-            read = read, if reads => matches!(read, Ok(true)),
-            () = sleep_until(whole_by.unwrap_or_else(now)), if reads && whole_by.is_some() => {
+            read = read => read,
+            () = sleep_until(whole_by.unwrap_or_else(now)), if whole_by.is_some() => {
                 count(Count::clients_not_whole);
-                false
+                Waited::Over
+            }
+            written = self.outbound.step(), if pending => {
+                if written.is_ok() { Waited::Stirred } else { Waited::Over }
             }
-            written = self.outbound.step(), if pending => written.is_ok(),
             () = sleep_until(stalled.unwrap_or_else(now)), if stalled.is_some() => {
                 count(Count::clients_stalled);
-                false
+                Waited::Over
             }
-            () = self.outbound.stirred() => true,
+            () = self.outbound.stirred() => Waited::Stirred,
         }
     }
 }
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -11,11 +11,11 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use super::Router;
-use crate::protocol::session::{Closer, Heard, Session};
+use crate::protocol::session::{Closer, Heard, Session, Word};
+use flaxdeck_net::link::LINGER;
 use flaxdeck_net::listener::Listener;
 use flaxdeck_net::room::Place;
 use flaxdeck_net::tally::{Count, count};
-use flaxdeck_wire::Answer;
 
 /// Pulls that one connection may have open by the protocol.
 const OPEN_MOST: usize = 32;
@@ -26,8 +26,12 @@
 /// How long a connection may say nothing before it is the first to make room: a few trips of a far client.
 const SILENT: Duration = Duration::from_millis(250);
 
+/// Connections that were ended here while the other side has not ended them yet: their descriptors are of those that are
+/// no client's and no host's.
+const ENDING_MOST: usize = 8;
+
 /// What the accepting side knows of a connection.
-struct Client {
+pub(super) struct Client {
     /// Its pulls by their numbers, also some that have their answers since it last spoke.
     pulls: RefCell<BTreeMap<u32, PullId>>,
     quiet_since: Cell<Instant>,
@@ -38,13 +42,12 @@
 
 /// Takes in clients for ever.
 pub async fn accept(router: Rc<Router>, listener: Listener) {
-    let mut clients: Vec<Weak<Client>> = Vec::new();
     loop {
-        clients.retain(|client| client.strong_count() > 0);
+        router.open.borrow_mut().retain(|client| client.strong_count() > 0);
         let place = match router.clients.take() {
             Some(place) => place,
             None => {
-                router.make_room(&clients);
+                router.make_room();
                 // Whoever makes room is gone at its next turn, so connections wait for no timer.
                 let Ok(place) = timeout(PAUSE, router.clients.wait_for(1)).await else { continue };
                 place
@@ -56,7 +59,8 @@
         match accepted {
             Ok(stream) => {
                 count(Count::clients_opened);
-                clients.push(serve(&router, stream, place));
+                let client = serve(&router, stream, place);
+                router.open.borrow_mut().push(client);
             }
             Err(error) => {
                 count(Count::accept_errors);
@@ -68,15 +72,31 @@
 }
 
 impl Router {
+    fn open_clients(&self) -> Vec<Rc<Client>> {
+        self.open.borrow().iter().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Whether a client has said something that was not read to its end.
+    pub(super) fn is_told_more(&self) -> bool {
+        self.open_clients().iter().any(|client| client.closer.is_midway() || client.closer.has_unread())
+    }
+
+    /// Ends all connections of clients, those too that are accepted from now on; what comes on them is not taken any more.
+    pub fn end_clients(&self) {
+        self.ends.set(true);
+        self.open_clients().iter().for_each(|client| client.closer.close());
+    }
+
     /// Those that never said anything go first, all of them; else the longest idle does.
-    fn make_room(&self, clients: &[Weak<Client>]) {
+    fn make_room(&self) {
+        let clients: Vec<Rc<Client>> = self.open_clients();
         // After a pause of this process its clients' words may lie unread: who has said one is not silent.
         let silent = |client: &Rc<Client>| {
             let quiet = client.quiet_since.get().elapsed() > SILENT;
             !client.spoke.get() && quiet && !client.closer.has_unread() && !client.closer.is_midway()
         };
         let mut found = false;
-        for client in clients.iter().filter_map(Weak::upgrade).filter(silent) {
+        for client in clients.iter().filter(|client| silent(client)) {
             found = true;
             count(Count::clients_closed_silent);
             client.closer.close();
@@ -93,8 +113,9 @@
                 && !client.closer.has_unread()
                 && !client.closer.is_midway()
         };
-        let clients = clients.iter().filter_map(Weak::upgrade).filter(idle);
-        if let Some(client) = clients.min_by_key(|client| client.quiet_since.get()) {
+        if let Some(client) =
+            clients.iter().filter(|client| idle(client)).min_by_key(|client| client.quiet_since.get())
+        {
             count(Count::clients_closed_idle);
             client.closer.close();
         }
@@ -102,19 +123,22 @@
 }
 
 fn serve(router: &Rc<Router>, stream: TcpStream, place: Place) -> Weak<Client> {
-    let session = Session::new(stream, router.names.clone(), router.bytes.clone());
+    let session = Session::new(stream, router.names.clone(), router.asked.clone());
     let (pulls, quiet_since, spoke) = (RefCell::default(), Cell::new(Instant::now()), Cell::new(false));
     let client = Rc::new(Client { pulls, quiet_since, spoke, closer: session.closer() });
+    if router.ends.get() {
+        client.closer.close();
+    }
     let weak = Rc::downgrade(&client);
     spawn_local(listen(router.clone(), session, client, place));
     weak
 }
 
-async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, _place: Place) {
+async fn listen(router: Rc<Router>, mut session: Session, client: Rc<Client>, place: Place) {
     let mut in_a_row = 0;
     loop {
         let heard = session.next().await;
-        if !client.hear(&router, &session, heard) {
+        if !client.hear(&router, &mut session, heard) {
             break;
         }
         in_a_row += 1;
@@ -126,11 +150,24 @@
         }
     }
     client.pulls.take().into_values().for_each(|pull| router.leave(pull));
+    drop(client);
+    if router.ends.get() {
+        session.end(LINGER).await;
+        drop(place);
+        return;
+    }
+    // Its place is free at once; few may take their time to end, and the longest at it goes first.
+    let end = spawn_local(session.end(LINGER)).abort_handle();
+    let mut ending = router.ending.borrow_mut();
+    ending.push_back(end);
+    if ending.len() > ENDING_MOST {
+        ending.pop_front().into_iter().for_each(|longest| longest.abort());
+    }
 }
 
 impl Client {
     /// Acts on what the client said; false once its connection is of no more use.
-    fn hear(&self, router: &Rc<Router>, session: &Session, heard: Heard) -> bool {
+    fn hear(&self, router: &Rc<Router>, session: &mut Session, heard: Heard) -> bool {
         let mut pulls = self.pulls.borrow_mut();
         pulls.retain(|_, pull| router.is_open(*pull));
         self.quiet_since.set(Instant::now());
@@ -144,21 +181,25 @@
             // Hosts tell pulls apart by their ids alone, so a second one would meddle with the first.
             Heard::Pull { call, asked } if router.has_id(&asked.id) => {
                 count(Count::pulls_id_in_use);
-                session.reply(call, None).send(Answer::Forfeited, None);
+                session.tell(call, Word::Failed("Lost"));
             }
             Heard::Pull { call, asked } => {
                 let fits = pulls.len() + self.closer.unread() < OPEN_MOST;
-                let (slot, held) = (router.slots.take(), router.bytes.take_some(asked.body.len()));
+                let (slot, held) = (router.slots.take(), router.asked.take_some(asked.body.len()));
                 match held.filter(|_| fits && slot.is_some()) {
                     Some(held) => {
                         pulls.insert(call, router.take(asked, session.reply(call, slot), held));
                     }
                     None => {
                         count(Count::pulls_no_room);
-                        session.reply(call, None).send(Answer::Bounced(router.come_back()), None);
+                        session.tell(call, Word::Refused(router.come_back()));
                     }
                 }
             }
+            Heard::Unheld { call } => {
+                count(Count::pulls_no_room);
+                session.tell(call, Word::Refused(router.come_back()));
+            }
             Heard::Cancel { call } => pulls.remove(&call).into_iter().for_each(|pull| router.leave(pull)),
             Heard::Other => {}
             Heard::Over => return false,
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -7,8 +7,8 @@
 mod pulls;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, BTreeSet};
-use std::rc::Rc;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use flaxdeck::words::*;
 use flaxdeck_terms::{Carriage, Names};
 use tokio::sync::Notify;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, interval, sleep_until};
 
 pub use clients::accept;
@@ -49,9 +50,15 @@
     zone: ZoneId,
     pool: Rc<Pool>,
     slots: Room,
-    /// Bytes that open pulls hold, asked and answered.
-    bytes: Rc<Room>,
+    /// Bytes that open pulls hold, as they were asked and as they are answered.
+    asked: Rc<Room>,
+    answered: Rc<Room>,
     clients: Room,
+    /// All connections of clients, and what ends those that are being ended.
+    open: RefCell<Vec<Weak<clients::Client>>>,
+    ending: RefCell<VecDeque<AbortHandle>>,
+    /// This process ends: no client is taken any more.
+    ends: Cell<bool>,
     /// The listener has been waited at in vain: no connection is left that the system took and this process did not.
     none_waits: Cell<bool>,
     next: Cell<u64>,
@@ -76,18 +83,23 @@
         carriage: Carriage,
         bounds: Bounds,
     ) -> Rc<Router> {
-        let (bytes, zone, settles) = (Rc::new(Room::new(bounds.bytes)), terms.zone, terms.purge_settles);
+        let (asked, answered) = (Rc::new(Room::new(bounds.asked)), Rc::new(Room::new(bounds.answered)));
+        let (zone, settles) = (terms.zone, terms.purge_settles);
         Rc::new(Router {
             clock,
             facade: RefCell::new(Facade::start(clock.now(), seed, terms)),
             table: RefCell::new(BTreeMap::new()),
             ids: RefCell::new(BTreeSet::new()),
-            pool: Pool::new(names.clone(), carriage, bounds.hosts, bytes.clone()),
+            pool: Pool::new(names.clone(), carriage, bounds.hosts, answered.clone()),
             names,
             zone,
             slots: Room::new(bounds.pulls),
-            bytes,
+            asked,
+            answered,
             clients: Room::new(bounds.clients),
+            open: RefCell::default(),
+            ending: RefCell::default(),
+            ends: Cell::new(false),
             none_waits: Cell::new(false),
             next: Cell::new(0),
             due_changed: Notify::new(),
@@ -106,7 +118,12 @@
 
     /// Nothing is left to be taken in or answered.
     pub fn at_rest(&self) -> bool {
-        self.none_waits.get() && self.slots.taken() == 0
+        self.none_waits.get() && self.slots.taken() == 0 && !self.is_told_more()
+    }
+
+    /// No connection of a client is left.
+    pub fn is_alone(&self) -> bool {
+        self.clients.taken() == 0 && self.ending.borrow().iter().all(AbortHandle::is_finished)
     }
 
     /// No pull outlasts this time.
@@ -210,7 +227,8 @@
     /// Takes over what a later configuration may change under load; open pulls notice nothing.
     pub fn reload(&self, bounds: Bounds, feed: Feed, known: Numbered) {
         self.slots.resize(bounds.pulls);
-        self.bytes.resize(bounds.bytes);
+        self.asked.resize(bounds.asked);
+        self.answered.resize(bounds.answered);
         self.clients.resize(bounds.clients);
         self.pool.resize(bounds.hosts);
         *self.later.borrow_mut() = Some((feed, known));
--- a/crates/flaxdeck-dispatcher/src/routing/pulls.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/pulls.rs
@@ -1,5 +1,6 @@
 //! One pull, from its arrival to its only answer.
 
+use std::cell::Cell;
 use std::rc::Rc;
 
 use flaxdeck::facade::{News, Step};
@@ -19,6 +20,8 @@
     leg: Leg,
     host: HostId,
     sent: Instant,
+    /// Something of it may have been written.
+    begun: Rc<Cell<bool>>,
     task: AbortHandle,
 }
 
@@ -81,6 +84,7 @@
                 count(Count::left);
                 log::debug!("left: pull {}", self.id.0);
                 self.close();
+                self.drop_unsent();
                 self.router.report(News::Left(self.id));
             }
             self.steps();
@@ -100,6 +104,16 @@
         must(self.router.pick(self.id) == Step::Wait, "a pull ends with no step left");
     }
 
+    /// What waits for a connection waits for nobody any more, whether or not an attempt may be taken back.
+    fn drop_unsent(&mut self) {
+        let (begun, unsent): (Vec<Out>, Vec<Out>) = self.out.drain(..).partition(|out| out.begun.get());
+        unsent.iter().for_each(|out| out.task.abort());
+        if begun.is_empty() {
+            count(Count::left_unsent);
+        }
+        self.out = begun;
+    }
+
     fn close(&self) {
         self.router.table.borrow_mut().remove(&self.id);
     }
@@ -136,6 +150,8 @@
         log::debug!("pull {} leg {} to {to} filled from {from} within {allow} ms", self.id.0, leg.0);
         let (router, asked, host) = (self.router.clone(), self.asked.clone(), hand_off.host.clone());
         let (id, until) = (self.id, Instant::now() + length(hand_off.allow));
+        let begun = Rc::new(Cell::new(false));
+        let begins = begun.clone();
         let task = self.tasks.spawn_local(async move {
             let clear = || {
                 let Clearance { oldest, sent_by } = router.clear(id, leg)?;
@@ -153,9 +169,9 @@
                 };
                 Some((wish, until.min(router.clock.instant(sent_by))))
             };
-            (leg, router.pool.ask(&hand_off.host, &asked, until, clear).await)
+            (leg, router.pool.ask(&hand_off.host, &asked, until, clear, &begins).await)
         });
-        self.out.push(Out { leg, host, sent: Instant::now(), task });
+        self.out.push(Out { leg, host, sent: Instant::now(), begun, task });
     }
 
     fn take_back(&mut self, leg: Leg) {
--- a/crates/flaxdeck-dispatcher/tests/connects.rs
+++ b/crates/flaxdeck-dispatcher/tests/connects.rs
@@ -5,47 +5,8 @@
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use flaxdeck_toy::{Client, Host};
-use serde_json::Value;
 use world::*;
 
-/// A world whose first cache takes no connection yet, and that waits longer for one than the system's first two tries.
-fn clogged_cache(change: impl FnOnce(&mut Value)) -> (World, Clogged, Host) {
-    let mut clogged = Clogged::start();
-    clogged.clog();
-    let world = World::with(2, |config| {
-        config["known"]["updates"][0]["endpoints"]["hosts"][0]["dial"] = clogged.address.to_string().into();
-        config["settings"]["allowed"]["connect_timeout_ms"] = 5000.into();
-        // A request takes a second to send by these settings, so none is overdue before its connection is up.
-        config["settings"]["family_info"]["client_kb_per_s"] = 50.into();
-        for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
-            class["objective_ms"] = 6000.into();
-            class["deadline_ms"] = 8000.into();
-        }
-        change(config);
-    });
-    let mut host = world.caches[0].clone();
-    host.address = clogged.address;
-    (world, clogged, host)
-}
-
-/// Asks for objects, the first of that number, until one is on its way to the first cache; gives its client and number.
-fn on_its_way(world: &World, first: u32) -> (Client, u32) {
-    for n in first..first + 64 {
-        let mut client = world.client();
-        client.pull("page", &key(n), 7000, b"").unwrap();
-        let decided = |cache: &str| {
-            let words = [&*format!("pull {n} leg 0 to"), cache];
-            world.log.lock().unwrap().iter().any(|line| words.iter().all(|word| line.contains(word)))
-        };
-        wait_for("decided", || decided("to s-0000ca00") || decided("to s-0000ca01"));
-        if decided("to s-0000ca00") {
-            return (client, n);
-        }
-    }
-    panic!("no object of 64 belongs to the first cache");
-}
-
 // Rule 3: nothing new to a host that drains or is gone, or with it as fill source, whatever was decided before.
 #[test]
 fn a_host_that_drains_while_its_connection_comes_up_gets_nothing() {
--- a/crates/flaxdeck-dispatcher/tests/world/mod.rs
+++ b/crates/flaxdeck-dispatcher/tests/world/mod.rs
@@ -171,6 +171,8 @@
     stuffing: Vec<TcpStream>,
     /// The requests that have come, by their first lines.
     heard: Arc<Mutex<Vec<String>>>,
+    /// Connections taken since it was opened, but for the stuffing.
+    taken: Arc<AtomicU32>,
 }
 
 impl Clogged {
@@ -178,7 +180,7 @@
     pub fn start() -> Clogged {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
-        Clogged { address, listener, stuffing: Vec::new(), heard: Arc::default() }
+        Clogged { address, listener, stuffing: Vec::new(), heard: Arc::default(), taken: Arc::default() }
     }
 
     /// Fills the queue, so that the next connection comes up only once this is opened: the system tries again about a
@@ -190,9 +192,13 @@
         }
     }
 
+    fn own(&self) -> Vec<SocketAddr> {
+        self.stuffing.iter().map(|stream| stream.local_addr().unwrap()).collect()
+    }
+
     /// Takes the next connection that is not stuffing; the queue must not be full.
     pub fn accept(&self) -> TcpStream {
-        let own: Vec<SocketAddr> = self.stuffing.iter().map(|stream| stream.local_addr().unwrap()).collect();
+        let own = self.own();
         loop {
             let (stream, from) = self.listener.accept().unwrap();
             if !own.contains(&from) {
@@ -204,9 +210,13 @@
     /// Takes whoever waits and comes, and serves each request.
     pub fn open(&self) {
         let (listener, heard) = (self.listener.try_clone().unwrap(), self.heard.clone());
+        let (stuffing, taken) = (self.own(), self.taken.clone());
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let heard = heard.clone();
+                if stream.peer_addr().is_ok_and(|from| !stuffing.contains(&from)) {
+                    taken.fetch_add(1, Ordering::Relaxed);
+                }
                 thread::spawn(move || {
                     let mut stream = stream;
                     while let Some((line, body)) = read_want(&mut stream) {
@@ -218,6 +228,10 @@
         });
     }
 
+    pub fn taken(&self) -> u32 {
+        self.taken.load(Ordering::Relaxed)
+    }
+
     pub fn heard(&self) -> Vec<String> {
         self.heard.lock().unwrap().clone()
     }
@@ -258,3 +272,40 @@
     let head = format!("{id} data version=v1,how=hit {}\r\n", body.len());
     let _ = stream.write_all(&[head.as_bytes(), &body, b"\r\n"].concat()); // whoever asked may have gone
 }
+
+/// A world whose first cache takes no connection yet, and that waits longer for one than the system's first two tries.
+pub fn clogged_cache(change: impl FnOnce(&mut Value)) -> (World, Clogged, Host) {
+    let mut clogged = Clogged::start();
+    clogged.clog();
+    let world = World::with(2, |config| {
+        config["known"]["updates"][0]["endpoints"]["hosts"][0]["dial"] = clogged.address.to_string().into();
+        config["settings"]["allowed"]["connect_timeout_ms"] = 5000.into();
+        // A request takes a second to send by these settings, so none is overdue before its connection is up.
+        config["settings"]["family_info"]["client_kb_per_s"] = 50.into();
+        for class in config["settings"]["request_classes"].as_array_mut().unwrap() {
+            class["objective_ms"] = 6000.into();
+            class["deadline_ms"] = 8000.into();
+        }
+        change(config);
+    });
+    let mut host = world.caches[0].clone();
+    host.address = clogged.address;
+    (world, clogged, host)
+}
+
+/// Asks for objects, the first of that number, until one is on its way to the first cache; gives its client and number.
+pub fn on_its_way(world: &World, first: u32) -> (Client, u32) {
+    for n in first..first + 64 {
+        let mut client = world.client();
+        client.pull("page", &key(n), 7000, b"").unwrap();
+        let decided = |cache: &str| {
+            let words = [&*format!("pull {n} leg 0 to"), cache];
+            world.log.lock().unwrap().iter().any(|line| words.iter().all(|word| line.contains(word)))
+        };
+        wait_for("decided", || decided("to s-0000ca00") || decided("to s-0000ca01"));
+        if decided("to s-0000ca00") {
+            return (client, n);
+        }
+    }
+    panic!("no object of 64 belongs to the first cache");
+}
--- a/crates/flaxdeck-net/src/link.rs
+++ b/crates/flaxdeck-net/src/link.rs
@@ -4,14 +4,15 @@
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, IoSlice};
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::{Buf, Bytes, BytesMut};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 
 use super::room::Place;
 
@@ -19,6 +20,10 @@
 const READ: usize = 8 * 1024;
 /// Pieces of one gathered write; a head, a body and a tail make three.
 const PIECES: usize = 48;
+/// How long the other side has to end a connection that was ended here: a few trips of a far one, and a lost segment.
+pub const LINGER: Duration = Duration::from_millis(500);
+/// Bytes that are read and dropped meanwhile: all that a client may have had on its way by the protocol.
+const DRAINED_MOST: usize = 2 * 1024 * 1024;
 
 /// The reading side.
 pub struct Inbound {
@@ -53,6 +58,25 @@
     }
 }
 
+/// Ends a connection from this side: what is queued is written, the writing side is shut, and what still comes is read
+/// and dropped until the other side has ended too, for so long at the most.
+// Guards against a close over unread bytes: that resets the connection, and answers which the other side has not read
+// yet go with it.
+pub async fn end(inbound: &mut Inbound, outbound: &Outbound, within: Duration) {
+    let ended = async {
+        outbound.flush().await.ok()?;
+        SockRef::from(&*outbound.stream).shutdown(Shutdown::Write).ok()?;
+        let mut drained = 0;
+        loop {
+            inbound.bytes.clear();
+            let more = inbound.more(0).await.ok().filter(|more| *more && drained < DRAINED_MOST);
+            drained += more.map(|_| inbound.bytes.len())?;
+        }
+    };
+    let _: Result<Option<()>, _> = timeout(within, ended).await; // whoever has not ended by then is left to the system
+    outbound.drop_queue();
+}
+
 /// A message to go out, with the places that it holds until it is written.
 struct Parcel {
     pieces: VecDeque<Bytes>,
@@ -61,7 +85,10 @@
 
 struct Queue {
     parcels: VecDeque<Parcel>,
+    /// Nothing more is taken to be sent.
     closed: bool,
+    /// Nothing more can be written.
+    broken: bool,
     /// Since when the other side has taken nothing of what waits for it; none while nothing waits.
     stuck_since: Option<Instant>,
 }
@@ -80,7 +107,12 @@
         log::debug!("TCP_NODELAY not set: {error}");
     }
     let stream = Rc::new(stream);
-    let queue = Rc::new(RefCell::new(Queue { parcels: VecDeque::new(), closed: false, stuck_since: None }));
+    let queue = Rc::new(RefCell::new(Queue {
+        parcels: VecDeque::new(),
+        closed: false,
+        broken: false,
+        stuck_since: None,
+    }));
     let inbound = Inbound { stream: stream.clone(), bytes: BytesMut::new() };
     (inbound, Outbound { stream, queue, stir: Rc::new(Notify::new()) })
 }
@@ -98,9 +130,7 @@
         }
         let pieces = pieces.into_iter().filter(|piece| !piece.is_empty()).collect();
         self.queue.borrow_mut().parcels.push_back(Parcel { pieces, _places: places });
-        if self.write().is_err() {
-            self.close();
-        } else if self.pending() {
+        if self.write().is_err() || self.pending() {
             self.stir.notify_one();
         }
     }
@@ -129,14 +159,16 @@
         matches!(SockRef::from(&*self.stream).peek(&mut byte), Ok(1..))
     }
 
-    /// Ends the connection at its owner's next look.
+    /// Takes nothing more to send; the connection ends at its owner's next look, which writes what is queued.
     pub fn close(&self) {
-        let mut queue = self.queue.borrow_mut();
-        queue.closed = true;
-        queue.parcels.clear();
+        self.queue.borrow_mut().closed = true;
         self.stir.notify_one();
     }
 
+    fn drop_queue(&self) {
+        self.queue.borrow_mut().parcels.clear();
+    }
+
     /// Waits until something is left to be written or the connection is to end.
     pub async fn stirred(&self) {
         self.stir.notified().await;
@@ -153,7 +185,7 @@
         while self.pending() {
             self.step().await?;
         }
-        if self.is_closed() { Err(ErrorKind::BrokenPipe.into()) } else { Ok(()) }
+        if self.queue.borrow().broken { Err(ErrorKind::BrokenPipe.into()) } else { Ok(()) }
     }
 
     fn write(&self) -> io::Result<()> {
@@ -176,7 +208,11 @@
                     queue.stuck_since.get_or_insert_with(Instant::now);
                     return Ok(());
                 }
-                Err(error) => return Err(error),
+                Err(error) => {
+                    (queue.closed, queue.broken) = (true, true);
+                    queue.parcels.clear();
+                    return Err(error);
+                }
             }
         }
     }
--- a/crates/flaxdeck-net/src/room.rs
+++ b/crates/flaxdeck-net/src/room.rs
@@ -1,6 +1,7 @@
 //! What bounds memory and descriptors, derived from the limits handed in.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::pin::pin;
 use std::rc::Rc;
 
@@ -29,8 +30,10 @@
     pub clients: usize,
     pub hosts: usize,
     pub pulls: usize,
-    /// Bytes that open pulls may hold together.
-    pub bytes: usize,
+    /// Bytes that clients' messages may hold together, and the answers to them. An answer waits for room while its
+    /// request holds some, so with one room for both all of it could be held by requests whose answers wait for it.
+    pub asked: usize,
+    pub answered: usize,
 }
 
 impl Bounds {
@@ -40,11 +43,14 @@
         let memory = memory_mb.max(0.0) * 1024.0 * 1024.0;
         // Each client may have the start of a message here that is no pull yet.
         let bytes = ((memory * BYTES_PART) as usize).saturating_sub(clients * SMALL);
+        let bytes = bytes.max(WRITE_MOST + OBJECT_MOST);
+        let asked = bytes / (WRITE_MOST + OBJECT_MOST) * WRITE_MOST;
         Bounds {
             clients,
             hosts,
             pulls: ((memory * PULLS_PART / PULL) as usize).max(1),
-            bytes: bytes.max(OBJECT_MOST + WRITE_MOST),
+            asked,
+            answered: bytes - asked,
         }
     }
 }
@@ -52,13 +58,19 @@
 struct Inside {
     taken: Cell<usize>,
     most: Cell<usize>,
-    /// Some places have been given back.
+    /// Some places have been given back, or who waits first has changed.
     freed: Notify,
+    /// Who waits for places, in the order in which they came.
+    queue: RefCell<VecDeque<u64>>,
+    next: Cell<u64>,
 }
 
 /// So many places, held by [`Place`]s.
 pub struct Room(Rc<Inside>);
 
+/// A turn in the queue for places, given up when dropped.
+struct Turn<'a>(&'a Inside, u64);
+
 /// So many places of a room, given back when dropped.
 pub struct Place {
     room: Rc<Inside>,
@@ -67,7 +79,13 @@
 
 impl Room {
     pub fn new(most: usize) -> Room {
-        Room(Rc::new(Inside { taken: Cell::new(0), most: Cell::new(most), freed: Notify::new() }))
+        Room(Rc::new(Inside {
+            taken: Cell::new(0),
+            most: Cell::new(most),
+            freed: Notify::new(),
+            queue: RefCell::default(),
+            next: Cell::new(0),
+        }))
     }
     /// With fewer places than are taken, none is free until enough have come back.
     pub fn resize(&self, most: usize) {
@@ -77,7 +95,12 @@
     pub fn take(&self) -> Option<Place> {
         self.take_some(1)
     }
+    /// So many places at once, if they are free and nobody waits for any.
     pub fn take_some(&self, places: usize) -> Option<Place> {
+        let waited_for = places > 0 && !self.0.queue.borrow().is_empty();
+        if waited_for { None } else { self.take_first(places) }
+    }
+    fn take_first(&self, places: usize) -> Option<Place> {
         let taken = self.taken() + places;
         if taken > self.0.most.get() {
             return None;
@@ -85,13 +108,18 @@
         self.0.taken.set(taken);
         Some(Place { room: self.0.clone(), places })
     }
-    /// Waits until so many are free; who asks for more than there are gets them once nobody holds any.
+    /// Waits for its turn and until so many are free; who asks for more than there are gets them once nobody holds any.
+    // Guards against small wishes that are met past a large one for ever: first come, first served.
     pub async fn wait_for(&self, places: usize) -> Place {
+        let turn = Turn(&self.0, self.0.next.get());
+        self.0.next.set(turn.1 + 1);
+        self.0.queue.borrow_mut().push_back(turn.1);
         loop {
             let mut freed = pin!(self.0.freed.notified());
             freed.as_mut().enable();
-            let most = self.0.most.get();
-            if let Some(place) = self.take_some(places.min(most)) {
+            let first = self.0.queue.borrow().front() == Some(&turn.1);
+            let place = if first { self.take_first(places.min(self.0.most.get())) } else { None };
+            if let Some(place) = place {
                 return place;
             }
             freed.await;
@@ -108,6 +136,13 @@
     }
 }
 
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        self.0.queue.borrow_mut().retain(|turn| *turn != self.1);
+        self.0.freed.notify_waiters();
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.room.taken.set(self.room.taken.get().saturating_sub(self.places));
@@ -140,9 +175,9 @@
     #[test]
     fn the_bounds_together_stay_within_the_limits() {
         for (memory_mb, sockets) in [(32.0, 256), (32.0, 1024), (48.0, 384), (192.0, 1024)] {
-            let Bounds { clients, hosts, pulls, bytes } = Bounds::of(memory_mb, sockets);
+            let Bounds { clients, hosts, pulls, asked, answered } = Bounds::of(memory_mb, sockets);
             assert!(clients + hosts + OWN_SOCKETS <= sockets);
-            let held = pulls as f64 * PULL + (bytes + clients * SMALL) as f64;
+            let held = pulls as f64 * PULL + (asked + answered + clients * SMALL) as f64;
             assert!(held <= memory_mb * 0.65 * 1024.0 * 1024.0, "{memory_mb} MB, {sockets} descriptors");
         }
     }
--- a/crates/flaxdeck-talk/src/feed.rs
+++ b/crates/flaxdeck-talk/src/feed.rs
@@ -73,6 +73,8 @@
     urgency: Rc<Urgency>,
     /// Others may tell the same sooner: the first call waits.
     waits: bool,
+    /// When the link came up, last had a whole frame, or began one.
+    heard: Instant,
     /// It has been told that all has come which the coordinator had when the link came up.
     told_current: bool,
 }
@@ -94,8 +96,8 @@
         let numbering = Rc::new(RefCell::new(numbering));
         let (pace, clock) = (Pace::new(seed, RETRY[0], RETRY[1]), Clock::start());
         let (urgency, waits) = (Rc::default(), false);
-        let feed =
-            Feed { address, names, clock, numbering, pace, link: None, urgency, waits, told_current: false };
+        let (heard, told_current, link) = (Instant::now(), false, None);
+        let feed = Feed { address, names, clock, numbering, pace, link, urgency, waits, heard, told_current };
         Ok((feed, events))
     }
 
@@ -162,7 +164,11 @@
                 self.connect().await;
                 continue;
             };
-            match frames::parse(&mut inbound.bytes, &self.names) {
+            let parsed = frames::parse(&mut inbound.bytes, &self.names);
+            if matches!(parsed, Ok(Parsed::Whole(_))) {
+                self.heard = Instant::now();
+            }
+            match parsed {
                 Ok(Parsed::Whole((_, _, None))) => {
                     let now = self.clock.now();
                     let next = self.numbering.borrow_mut().alive(now);
@@ -214,9 +220,13 @@
                         .flatten()
                         .min()
                         .map(|at| self.clock.instant(at) + Duration::from_millis(1));
-                    let limit = due.map_or(SILENT, |at| at.duration_since(Instant::now()));
+                    // Guards against a frame that comes byte by byte and never ends.
+                    let silent = self.heard + SILENT;
+                    let limit = due.unwrap_or(silent).duration_since(Instant::now());
+                    let begins = inbound.bytes.is_empty();
                     match timeout(limit, inbound.more(more)).await {
-                        Ok(Ok(true)) => {}
+                        Ok(Ok(true)) if begins => self.heard = Instant::now(),
+                        Ok(Ok(true)) if Instant::now() < silent => {}
                         Err(_) if settles.is_some() && settles <= proves.or(settles) => {
                             self.told_current = self.numbering.borrow().current(self.clock.now());
                             if self.told_current {
@@ -252,6 +262,7 @@
             Ok(Ok((inbound, outbound))) => {
                 let asked = self.numbering.borrow_mut().ask(self.clock.now());
                 outbound.send([Bytes::copy_from_slice(&asked.to_be_bytes())], [None, None]);
+                self.heard = Instant::now();
                 (self.link, self.told_current) = (Some((inbound, outbound)), false);
             }
             Ok(Err(error)) => {
--- a/crates/flaxdeck-wire/src/msgpack.rs
+++ b/crates/flaxdeck-wire/src/msgpack.rs
@@ -93,16 +93,21 @@
 
     /// The bytes of a `bin` value; nil and an empty string are none.
     pub fn binary(&mut self, most: usize) -> Read<&'a [u8]> {
-        let length = match self.byte()? {
-            0xc0 | 0xa0 => 0,
-            0xc4 => self.length(1, most)?,
-            0xc5 => self.length(2, most)?,
-            0xc6 => self.length(4, most)?,
-            _ => return Err(Stop::Bad("not binary")),
-        };
+        let length = self.binary_head(most)?;
         self.take(length)
     }
 
+    /// How many bytes the `bin` value has that begins here.
+    pub fn binary_head(&mut self, most: usize) -> Read<usize> {
+        match self.byte()? {
+            0xc0 | 0xa0 => Ok(0),
+            0xc4 => self.length(1, most),
+            0xc5 => self.length(2, most),
+            0xc6 => self.length(4, most),
+            _ => Err(Stop::Bad("not binary")),
+        }
+    }
+
     /// Passes over one value of any type; gives a reader that stands before it and ends with it.
     pub fn value(&mut self, most: usize) -> Read<Reader<'a>> {
         let at = self.at;
--- a/crates/flaxdeck-wire/src/rpc.rs
+++ b/crates/flaxdeck-wire/src/rpc.rs
@@ -82,6 +82,24 @@
     }))
 }
 
+/// A request at the head of the buffer that lacks nothing but the rest of its body: its call number, and how many bytes
+/// are still to come. For who has no memory for it and reads past it.
+pub fn lacks_body(buffer: &BytesMut) -> Option<(u32, usize)> {
+    let mut reader = Reader::new(buffer);
+    let head = (reader.array().ok()?, reader.whole().ok()?);
+    let call = call_number(&mut reader).ok().filter(|_| head == (4, 0))?;
+    reader.text(FIELD_MOST).ok()?;
+    let (parameters, fields) = (reader.array().ok()?, reader.map().ok()?);
+    if parameters != 2 || fields > FIELDS_MOST {
+        return None;
+    }
+    for _ in 0..2 * fields {
+        reader.text(FIELD_MOST).ok()?;
+    }
+    let (length, here) = (reader.binary_head(WRITE_MOST).ok()?, buffer.len() - reader.at);
+    (here < length).then(|| (call, length - here))
+}
+
 fn call_number(reader: &mut Reader) -> Result<u32, Stop> {
     u32::try_from(reader.whole()?).map_err(|_| Stop::Bad("a message id over 32 bits"))
 }
--- a/examples/toy/src/client.rs
+++ b/examples/toy/src/client.rs
@@ -38,7 +38,11 @@
 
 impl Client {
     pub fn connect(address: SocketAddr) -> io::Result<Client> {
-        let stream = TcpStream::connect(address)?;
+        Client::over(TcpStream::connect(address)?)
+    }
+
+    /// A client on a connection that is up.
+    pub fn over(stream: TcpStream) -> io::Result<Client> {
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(PATIENCE))?;
         Ok(Client { stream, next: 1 })
--- a/examples/toy/src/coordinator.rs
+++ b/examples/toy/src/coordinator.rs
@@ -3,13 +3,15 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
-use std::thread::spawn;
+use std::thread::{sleep, spawn};
 use std::time::Duration;
 
 use crate::Host;
 
 /// An empty frame comes each second.
 const QUIET: Duration = Duration::from_secs(1);
+/// Between the bytes of a frame that never ends.
+const TRICKLE: Duration = Duration::from_millis(200);
 
 #[derive(Default)]
 struct Told {
@@ -18,6 +20,8 @@
     /// How often all connections were ended, and how often they were left open without a further word.
     hung_up: u32,
     stopped: u32,
+    /// Likewise, with a frame begun on them that comes byte by byte and never ends.
+    trickled: u32,
 }
 
 /// What was told, and what wakes the connections.
@@ -63,6 +67,12 @@
         self.told.0.lock().expect("no holder panics").stopped += 1;
     }
 
+    /// Begins a frame on the connections that there are which comes byte by byte and never ends.
+    pub fn trickle(&self) {
+        self.told.0.lock().expect("no holder panics").trickled += 1;
+        self.told.1.notify_all();
+    }
+
     /// Leaves out a number, as if an event had been lost.
     pub fn lose_one(&mut self) {
         self.next += 1;
@@ -91,20 +101,29 @@
     stream.read_exact(&mut number)?;
     let mut last = u64::from_be_bytes(number);
     let (lock, stir) = &**told;
-    let (hung_up, stopped) = {
+    let (hung_up, stopped, trickled) = {
         let told = lock.lock().expect("no holder panics");
-        (told.hung_up, told.stopped)
+        (told.hung_up, told.stopped, told.trickled)
     };
     loop {
         let news: Vec<_> = {
             let nothing = |told: &mut Told| {
-                told.hung_up == hung_up && told.events.last().is_none_or(|event| event.0 <= last)
+                (told.hung_up, told.trickled) == (hung_up, trickled)
+                    && told.events.last().is_none_or(|event| event.0 <= last)
             };
             let held = lock.lock().expect("no holder panics");
             let (held, _) = stir.wait_timeout_while(held, QUIET, nothing).expect("no holder panics");
             if held.hung_up != hung_up {
                 return Ok(());
             }
+            if held.trickled != trickled {
+                drop(held);
+                stream.write_all(&4096u32.to_be_bytes())?;
+                loop {
+                    stream.write_all(&[0])?;
+                    sleep(TRICKLE);
+                }
+            }
             if held.stopped != stopped {
                 drop(held);
                 return stream.read_exact(&mut [0]); // until the other side has had enough
