Settings that can't be served are refused by field and name; others proven to be served

Seen before this commit: a deadline of -1 or 1e300 ms, a class name with a space or a comma, two classes of one name and 12 descriptors were all accepted and served wrongly or not at all (a host answers "no such command" to a name with a space). Change: times are read as 0 to 1e12 ms, class names as what a line and a method can hold, `sockets` from 26 on, `memory_mb` over 0; one line names the field, exit code 1.

--- a/crates/flaxdeck-dispatcher/src/program/start.rs
+++ b/crates/flaxdeck-dispatcher/src/program/start.rs
@@ -9,7 +9,7 @@
 use flaxdeck_terms::{Carriage, Names};
 use serde_json::Value;
 
-use flaxdeck_net::room::Bounds;
+use flaxdeck_net::room::{Bounds, SOCKETS_LEAST};
 use flaxdeck_talk::feed::{Feed, Numbered};
 
 pub struct Start {
@@ -49,7 +49,14 @@
     let names = Rc::new(names);
     let (feed, known) = Feed::start(coordinator, &fields.inner("known")?, names.clone(), trusts, seed)?;
     let limits = fields.inner("limits")?;
-    let bounds = Bounds::of(limits.number("memory_mb")?, limits.whole("sockets")? as usize);
+    let (memory_mb, sockets) = (limits.number("memory_mb")?, limits.whole("sockets")?);
+    if memory_mb <= 0.0 {
+        return Err(format!("limits: field memory_mb is {memory_mb}, nothing fits in that"));
+    }
+    if sockets < SOCKETS_LEAST {
+        return Err(format!("limits: field sockets is {sockets}, {SOCKETS_LEAST} are needed at least"));
+    }
+    let bounds = Bounds::of(memory_mb, sockets as usize);
     let carriage = flaxdeck_terms::carriage(&settings).map_err(|fault| format!("settings: {fault}"))?;
     let settings = Value::Object(settings.0.clone());
     Ok(Start { address, feed, known, terms, names, carriage, bounds, seed, settings })
--- a/crates/flaxdeck-net/src/room.rs
+++ b/crates/flaxdeck-net/src/room.rs
@@ -9,6 +9,8 @@
 
 /// Descriptors kept for the listener, the coordinator, the runtime and standard streams.
 const OWN_SOCKETS: usize = 24;
+/// Descriptors with which there is one for a client and one for a host.
+pub const SOCKETS_LEAST: u64 = OWN_SOCKETS as u64 + 2;
 /// The part of the memory limit that pulls may take beside the bytes they carry, and the part for those bytes,
 /// asked and answered; the rest is the program, its tables and what the allocator can't give back.
 const PULLS_PART: f64 = 0.2;
--- a/crates/flaxdeck-terms/src/fields.rs
+++ b/crates/flaxdeck-terms/src/fields.rs
@@ -7,6 +7,9 @@
 
 type Read<T> = Result<T, String>;
 
+/// The longest time that a field may tell, in milliseconds: some thirty years, which every clock can add.
+const LONGEST_MS: f64 = 1e12;
+
 impl<'a> Fields<'a> {
     pub fn of(value: &'a Value, what: &str) -> Read<Fields<'a>> {
         value.as_object().map(Fields).ok_or_else(|| format!("{what} is not an object"))
@@ -61,12 +64,19 @@
     }
 
     pub fn span(&self, name: &str) -> Read<Span> {
-        self.number(name).map(Span::of_ms)
+        Self::needed(name, self.span_or_none(name)?)
     }
 
     /// A span that counts as none where the field is absent.
     pub fn span_or_zero(&self, name: &str) -> Read<Span> {
-        self.number_or(name, 0.0).map(Span::of_ms)
+        Ok(self.span_or_none(name)?.unwrap_or(Span::ZERO))
+    }
+
+    fn span_or_none(&self, name: &str) -> Read<Option<Span>> {
+        let kind = "a time of 0 to 1e12 ms";
+        let ms =
+            self.typed(name, kind, |value| value.as_f64().filter(|ms| (0.0..=LONGEST_MS).contains(ms)))?;
+        Ok(ms.map(Span::of_ms))
     }
 
     pub fn time(&self, name: &str) -> Read<Time> {
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -7,6 +7,9 @@
 
 use fields::Fields;
 
+/// Bytes of the longest name that a client's message may hold.
+pub const NAME_MOST: usize = 256;
+
 /// The names that the settings give to numbers.
 #[derive(Clone, Debug)]
 pub struct Names {
@@ -103,7 +106,7 @@
     let (mut names, mut workloads) = (Vec::new(), Vec::new());
     for (at, class) in settings.rows("request_classes")?.iter().enumerate() {
         let class = Fields::of(class, "a request class")?;
-        names.push(class.text("name")?.to_owned());
+        names.push(class_name(class.text("name")?, &names)?);
         workloads.push(Workload {
             promised: class.span("objective_ms")?,
             stretch: class.number_or("aim_stretch", 0.0)?,
@@ -114,6 +117,9 @@
             older: Span::of_ms(older.get(at).copied().unwrap_or(0.0)),
         });
     }
+    if names.is_empty() {
+        return Err("field request_classes names no class".to_owned());
+    }
     let terms = Terms {
         workloads,
         zone: ZoneId(zone),
@@ -153,6 +159,24 @@
     Ok((terms, names))
 }
 
+/// A class's name, which clients send as a method and hosts get as a word of a line's fields.
+fn class_name(name: &str, others: &[String]) -> Result<String, String> {
+    let cant_stand = |letter: char| letter.is_whitespace() || letter.is_control() || ",=".contains(letter);
+    let fault = if name.is_empty() || name.len() > NAME_MOST {
+        format!("has {} bytes, 1 to {NAME_MOST} can be sent", name.len())
+    } else if name.contains(cant_stand) {
+        "holds a space, a comma, an equals sign or a control character, which no line to a host can"
+            .to_owned()
+    } else if name == "alive" {
+        "is the method by which clients ask whether a dispatcher is up".to_owned()
+    } else if others.iter().any(|other| other == name) {
+        "is that of two classes".to_owned()
+    } else {
+        return Ok(name.to_owned());
+    };
+    Err(format!("request_classes: field name: {name:?} {fault}"))
+}
+
 fn repeats(class: &Fields) -> Result<Repeats, String> {
     Ok(match class.text("effect")? {
         "idempotent" => Repeats::Reissuable,
--- a/crates/flaxdeck-wire/src/rpc.rs
+++ b/crates/flaxdeck-wire/src/rpc.rs
@@ -4,14 +4,14 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 use flaxdeck::words::*;
-use flaxdeck_terms::Names;
+use flaxdeck_terms::{NAME_MOST, Names};
 
 use crate::msgpack::{Reader, Stop, put_binary_head, put_text, put_whole};
 use crate::{Answer, Asked, Malformed, Parsed};
 use flaxdeck_net::room::{MESSAGE_MOST, WRITE_MOST};
 
 /// Bytes of a field's name or value; the longest of the protocol are 32.
-const FIELD_MOST: usize = 256;
+const FIELD_MOST: usize = NAME_MOST;
 /// Fields of a message; the protocol knows nine.
 const FIELDS_MOST: usize = 64;
 /// Values of an empty `FIELDS`.
