Large objects' part of what is served, tested on the model; one row known to fail

Cause looked for there: not the link's bias (LINK_BIAS at 1.0 and 1.41 changes nothing); pick_cache takes from loaded caches what still comes in time, and a large one no longer does.

--- a/crates/flaxdeck-fleet/src/model.rs
+++ b/crates/flaxdeck-fleet/src/model.rs
@@ -113,6 +113,8 @@
     pub origin_fills: u64,
     pub fell_over: u64,
     pub events: u64,
+    /// The part of all reads that was served, of the tenth with the largest objects, and of the fifth below that.
+    pub served_by_size: [f64; 3],
     /// If it was judged.
     pub verdict: Option<Verdict>,
     /// Of all that happened, in order: the same for the same shape and seed.
@@ -173,6 +175,7 @@
     /// The try that is out: its forwarder, run and pull.
     out: Option<(usize, u32, PullId)>,
     over: bool,
+    served: bool,
 }
 
 struct Attempt {
@@ -262,6 +265,7 @@
         model.out.events += 1;
         model.happen(event);
     }
+    model.out.served_by_size = model.served_by_size();
     if shape.judged {
         let ramps = model.hosts.iter().filter(|host| host.kind != Kind::Origin);
         let ramp = |host: &Host| Ramp {
@@ -360,7 +364,7 @@
     }
 
     fn after(&mut self, ms: f64, event: Event) {
-        self.queue.put(((self.now + ms.max(0.0)) * 1000.0) as u64, event);
+        self.queue.put(((self.now + ms.max(0.0)) * 1000.0).round() as u64, event);
     }
 
     fn see(&mut self, seen: Seen) {
@@ -600,7 +604,19 @@
         let kb = if write { 5.0 } else { self.traffic.kb(object) };
         let promised = self.now + 400.0 + 2.0 * kb / self.shape.place_pace;
         let (first, tries, out, over, attempts) = (self.now, 0, None, false, Vec::new());
-        self.wants.push(Want { zone, object, kb, write, first, promised, tries, attempts, out, over });
+        self.wants.push(Want {
+            zone,
+            object,
+            kb,
+            write,
+            first,
+            promised,
+            tries,
+            attempts,
+            out,
+            over,
+            served: false,
+        });
         self.out.wants += 1;
         self.attempt_of(self.wants.len() as u64 - 1);
     }
@@ -643,11 +659,10 @@
         if want.over || want.tries != tries {
             return;
         }
+        // This try had its answer, and the next one waits for its time.
+        let Some((n, run, pull)) = want.out.take() else { return };
         // Unanswered on a whole connection: the record shows it.
-        if let Some((n, run, pull)) = want.out.take()
-            && self.forwarders[n].run == run
-            && self.forwarders[n].open.remove(&pull).is_some()
-        {
+        if self.forwarders[n].run == run && self.forwarders[n].open.remove(&pull).is_some() {
             let decisions = self.forwarders[n].brain.client_left(time(self.now), pull);
             self.decide(n, decisions);
         }
@@ -677,7 +692,7 @@
             Answer::Finished => {
                 self.out.finished += 1;
                 let want = &mut self.wants[id as usize];
-                want.over = true;
+                (want.over, want.served) = (true, true);
                 *if now <= want.promised { &mut self.out.in_time } else { &mut self.out.late } += 1;
             }
             Answer::Bounced => {
@@ -1228,6 +1243,15 @@
         self.touched[at] = chosen;
     }
 
+    fn served_by_size(&self) -> [f64; 3] {
+        let mut reads: Vec<&Want> = self.wants.iter().filter(|want| !want.write).collect();
+        reads.sort_by(|a, b| b.kb.total_cmp(&a.kb));
+        let (tenth, next) = (reads.len() / 10, reads.len() * 3 / 10);
+        let part =
+            |of: &[&Want]| of.iter().filter(|want| want.served).count() as f64 / of.len().max(1) as f64;
+        [part(&reads), part(&reads[..tenth]), part(&reads[tenth..next])]
+    }
+
     fn kill_forwarders(&mut self, part: f64) {
         let count = (self.forwarders.len() as f64 * part).floor() as usize;
         for n in 0..count {
--- a/crates/flaxdeck-fleet/tests/days.rs
+++ b/crates/flaxdeck-fleet/tests/days.rs
@@ -55,3 +55,41 @@
     }
     kept(&run(&shape, 9), "four at once");
 }
+
+/// Plays days with many large objects; gives the part served of all reads, of the largest tenth and of the next fifth.
+fn by_size(rate: f64, link_pace: f64) -> Vec<[f64; 3]> {
+    let play = |seed| {
+        let mut pressed = shape();
+        (pressed.law.rate, pressed.law.spread, pressed.link_pace) = (rate, 1.2, link_pace);
+        let out = run(&pressed, seed);
+        kept(&out, "pressed");
+        out.served_by_size
+    };
+    (1..4).map(play).collect()
+}
+
+fn get_their_part(served: &[[f64; 3]], least: f64) {
+    for [all, largest, next] in served {
+        println!("{all:.3} of all, {largest:.3} of the largest tenth, {next:.3} of the next fifth");
+        assert!(*largest >= all * least && *next >= all * least, "{all}, {largest}, {next}");
+    }
+}
+
+// The largest tenth of the reads, and the fifth below, get two thirds of what all get on quiet days, ...
+#[test]
+fn on_quiet_days_large_objects_get_two_thirds_of_the_served_share() {
+    get_their_part(&by_size(150.0, 60.0), 2.0 / 3.0);
+}
+
+// ... and half of it where links or caches are asked for too much.
+#[test]
+fn under_pressure_large_objects_get_half_of_the_served_share() {
+    let pressed = [by_size(300.0, 60.0), by_size(150.0, 25.0), by_size(300.0, 25.0)];
+    pressed.iter().for_each(|served| get_their_part(served, 0.5));
+    assert!(pressed.iter().flatten().any(|[all, ..]| *all < 0.9), "some of these days press");
+}
+
+#[test]
+fn at_three_times_the_usual_load_large_objects_get_half_of_the_served_share() {
+    get_their_part(&by_size(450.0, 60.0), 0.5);
+}
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -382,7 +382,7 @@
         }
         self.release(&out, &ended, cached);
         self.hosts.get_mut(&out.source).filter(|_| full).into_iter().for_each(|parent| parent.widen(false));
-        // Guards against what parents pass on to an origin that can't follow: none sees the sum, all the wait.
+        // Guards against what parents pass on to a slow origin: nobody sees the sum, each sees the wait.
         let passed_on = parent && ended.told == FilledThroughOrigin;
         let origin = self.hosts.values_mut().find(|host| passed_on && host.is(Role::Origin));
         origin.into_iter().for_each(|origin| origin.widen(prompt));
