--- a/crates/flaxdeck-dispatcher/tests/endings.rs
+++ b/crates/flaxdeck-dispatcher/tests/endings.rs
@@ -200,6 +200,32 @@
     }
 }
 
+// A half-close can't be told from a close, and a reset says the same: nothing is owed, and nothing goes on for it.
+#[test]
+fn a_client_that_shuts_or_resets_its_connection_has_left() {
+    for resets in [false, true] {
+        let world = World::start(1);
+        world.caches[0].set(Manner::Silent);
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        if resets {
+            socket.set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        socket.connect(&world.address.into()).unwrap();
+        let mut client = Client::over(TcpStream::from(socket)).unwrap();
+        client.pull("page", KEY, 2400, b"").unwrap();
+        wait_for("sent on", || !world.caches[0].heard("want").is_empty());
+        if !resets {
+            client.shut().unwrap();
+            assert!(client.ended());
+        }
+        drop(client);
+        world.logged(&["left: "]);
+        wait_for("given up", || !world.caches[0].heard("never_mind").is_empty());
+        world.caches[0].set(Manner::Serve);
+        assert!(finished(&world.pull("page", &key(1), 2000, b""), &key(1)), "others notice nothing");
+    }
+}
+
 #[test]
 fn who_floods_and_takes_nothing_costs_its_own_connection_only() {
     let world = World::start(1);
--- a/examples/toy/src/client.rs
+++ b/examples/toy/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::time::Duration;
 
 /// Longer than any answer takes.
@@ -113,6 +113,11 @@
         Ok(Answer::Error { call, word, fields })
     }
 
+    /// Says that nothing more will come, and goes on reading.
+    pub fn shut(&self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
     /// Whether the dispatcher has ended the connection, after whatever it still had to say.
     pub fn ended(&mut self) -> bool {
         let mut rest = Vec::new();
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -108,7 +108,7 @@
     fn new(line: Listed, now: Time) -> Host {
         let hash = mix(of_name(&line.host.0, 0));
         let (reputation, next_trial, window, slow) = (1.0, now + TRIAL, WINDOW, (1.0, now));
-        Host { line, hash, reputation, next_trial, window, slow, heard: now, ..Host::default() }
+        Host { line, hash, reputation, next_trial, window, reach: 1.0, slow, heard: now, ..Host::default() }
     }
     fn is(&self, role: Role) -> bool {
         self.line.role == role
@@ -121,12 +121,14 @@
         self.widen(now < out.sent + out.overdue.since(out.sent) * SLOW[usize::from(self.is(Role::Origin))]);
         self.reputation += STEP * (1.0 - self.reputation) + f64::EPSILON; // rounds no trial below the floor
     }
-    // Guards against a source that all dispatchers lean on when others fail: it slows, then stops. Past its
-    // start a window widens only as far as it is used (RFC 7661): what was never tried proves nothing.
+    // Guards against a source that all dispatchers lean on when others fail: it slows, then stops.
     fn widen(&mut self, well: bool) {
-        let tried = self.window < WINDOW || self.in_hand + 1.0 >= self.window;
-        let wider = self.window + f64::from(tried);
-        self.window = if well { wider } else { (self.window * NARROWED).max(1.0) };
+        self.window = if well { self.window + 1.0 } else { (self.window * NARROWED).max(1.0) };
+    }
+    // Guards against what parents pass on to a slow origin: nobody sees the sum, each sees the wait.
+    fn reach(&mut self, prompt: bool) {
+        let step = 1.0 / WINDOW; // as its window goes
+        self.reach = if prompt { (self.reach + step).min(1.0) } else { (self.reach * NARROWED).max(step) };
     }
     // How much longer its hits take; what is left alone for that gets better by and by, to be tried again.
     fn pace(&self, now: Time) -> f64 {
@@ -382,10 +384,9 @@
         }
         self.release(&out, &ended, cached);
         self.hosts.get_mut(&out.source).filter(|_| full).into_iter().for_each(|parent| parent.widen(false));
-        // Guards against what parents pass on to a slow origin: nobody sees the sum, each sees the wait.
         let passed_on = parent && ended.told == FilledThroughOrigin;
         let origin = self.hosts.values_mut().find(|host| passed_on && host.is(Role::Origin));
-        origin.into_iter().for_each(|origin| origin.widen(prompt));
+        origin.into_iter().for_each(|origin| origin.reach(prompt));
         (!full).then(|| self.rate(&out, &ended, large, cached));
         self.wake(now)
     }
@@ -802,9 +803,9 @@
         let origin = self.origin();
         let up = origin.filter(|origin| origin.usable()).map(|origin| &origin.line.host);
         // Guards against slow sources whose fills take up the caches, and a stopped origin being asked on by
-        // parents, or every parent asked in turn for what the first one lacks. Behind a narrow origin parents
+        // parents, or every parent asked in turn for what the first one lacks. Behind a slow origin parents
         // fetch what the hash draws, the same at every dispatcher, so that what is fetched serves all.
-        let narrow = |origin: &Host| draw(origin, &held.pull) * WINDOW > origin.window;
+        let narrow = |origin: &Host| draw(origin, &held.pull) > origin.reach;
         let shut = |origin: &Host| !origin.usable() && origin.next_trial > now;
         let stopped = origin.is_some_and(|origin| shut(origin) || narrow(origin));
         let room = |id: &HostId| through || (self.hosts[id].has_room() && !(stopped && held.missed));
--- a/src/state.rs
+++ b/src/state.rs
@@ -19,6 +19,7 @@
     pub(crate) busy: Option<(f64, Time)>, // the share of its capacity in use by its last report
     pub(crate) others: Option<(f64, Time)>, // the other dispatchers' pulls there by its last report
     pub(crate) window: f64, // how many hand-offs may be out at it at once, as a source or past the caches
+    pub(crate) reach: f64,  // of the origin: the share of objects that parents may fetch there
     pub(crate) spent: Vec<(Time, PullId, Leg, f64)>,
     pub(crate) elsewhere: Option<(f64, Time)>, // what others have out there, by their own word
     pub(crate) share: Option<f64>, // of a cold host's whole, by what others left to this dispatcher
