Two more crossings forced: a host back cold, a watch moved while its coordinator is away

The story of a host that is back cold before its attempt is written fails with the budget's look taken out of Brain::clear; the watch moved by SIGHUP while reconnecting worked before and is now held. No change of code.

--- a/crates/flaxdeck-dispatcher/tests/endings.rs
+++ b/crates/flaxdeck-dispatcher/tests/endings.rs
@@ -9,7 +9,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use flaxdeck_toy::{Answer, Client, Manner, pull_message};
+use flaxdeck_toy::{Answer, Client, Coordinator, Manner, pull_message};
 use socket2::{Domain, Socket, Type};
 use world::*;
 
@@ -296,6 +296,21 @@
     assert!(began.elapsed() < Duration::from_millis(4000), "{:?}", began.elapsed());
 }
 
+#[test]
+fn a_coordinator_moved_by_a_new_configuration_while_the_old_one_is_away_is_heard() {
+    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let world = World::with(2, |config| config["coordinator"] = gone.to_string().into());
+    world.logged(&["no connection to the coordinator"]);
+    let mut later = Coordinator::start("127.0.0.1:0", 1).unwrap();
+    let mut config: serde_json::Value = serde_json::from_str(&world.config).unwrap();
+    config["coordinator"] = later.address.to_string().into();
+    std::fs::write(&world.path, config.to_string()).unwrap();
+    world.signal("HUP");
+    later.change(&world.caches[0], 1, 0, 0);
+    world.logged(&["told: s-0000ca00 Draining"]);
+    assert!(world.spares(&world.caches[0].clone()));
+}
+
 /// A cache that keeps half of each answer back for a while; the answer to `large` is large, all others are not.
 fn halting_cache(large: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -468,6 +468,22 @@
     );
 }
 
+// An attempt is decided, its host dies and is back empty before the connection is up: its share has to be taken anew.
+#[test]
+fn a_host_that_is_back_cold_before_an_attempt_is_written_does_not_get_it() {
+    let mut fake = Fake::new(terms(), usual());
+    let at = fake.pull(0, 1);
+    let (leg, sent) = fake.sent[at].clone();
+    let now = fake.now;
+    assert!(fake.brain.clear(now, sent.pull, leg).is_some(), "it stands as long as nothing has changed");
+    for id in [&sent.host, &sent.source] {
+        let was = usual().into_iter().find(|line| line.host == *id).unwrap();
+        fake.list(vec![Listed { started: Some(now), ..was.clone() }]);
+        assert_eq!(fake.brain.clear(now, sent.pull, leg), None, "{id:?} is another process");
+        fake.list(vec![was]);
+    }
+}
+
 #[test]
 fn a_pull_without_room_bounces_once_a_full_cache_could_not_answer_it_in_time() {
     let mut fake = Fake::new(terms(), Vec::new());
