The origin is looked up only for fills that parents passed on

Found at the reread: hand_off_ended walked all hosts at each end, with a condition that held for none. Same decisions: tests/same.rs to the bit.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -384,9 +384,10 @@
         }
         self.release(&out, &ended, cached);
         self.hosts.get_mut(&out.source).filter(|_| full).into_iter().for_each(|parent| parent.widen(false));
-        let passed_on = parent && ended.told == FilledThroughOrigin;
-        let origin = self.hosts.values_mut().find(|host| passed_on && host.is(Role::Origin));
-        origin.into_iter().for_each(|origin| origin.reach(prompt));
+        if parent && ended.told == FilledThroughOrigin {
+            let origin = self.hosts.values_mut().find(|host| host.is(Role::Origin));
+            origin.into_iter().for_each(|origin| origin.reach(prompt));
+        }
         (!full).then(|| self.rate(&out, &ended, large, cached));
         self.wake(now)
     }
