Addresses of nobody in tests stay taken while they are used

A watch moved by SIGHUP failed in 1 of 50 runs of tests/endings.rs, five at a time. Likely cause, by reading: the address of nobody was that of a listener let go, which another test running beside it may be given; what the failed run printed was not kept. What is asserted is unchanged.

--- a/crates/flaxdeck-dispatcher/tests/endings.rs
+++ b/crates/flaxdeck-dispatcher/tests/endings.rs
@@ -21,6 +21,14 @@
     Client::over(TcpStream::from(socket)).unwrap()
 }
 
+/// An address at which nobody listens, and what keeps it from being given to others.
+fn nobody() -> (Socket, SocketAddr) {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    let address = socket.local_addr().unwrap().as_socket().unwrap();
+    (socket, address)
+}
+
 fn fields<'a>(id: &'a str, key: &'a str) -> [(&'a str, &'a str); 4] {
     [("id", id), ("wait", "2500"), ("key", key), ("slice", "0")]
 }
@@ -131,7 +139,7 @@
 
 #[test]
 fn a_planned_end_with_the_coordinator_away_answers_what_is_open() {
-    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_held, gone) = nobody();
     let mut world = World::with(1, |config| config["coordinator"] = gone.to_string().into());
     world.caches[0].set(Manner::Late(500));
     let mut client = world.client();
@@ -298,7 +306,7 @@
 
 #[test]
 fn a_coordinator_moved_by_a_new_configuration_while_the_old_one_is_away_is_heard() {
-    let gone = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let (_held, gone) = nobody();
     let world = World::with(2, |config| config["coordinator"] = gone.to_string().into());
     world.logged(&["no connection to the coordinator"]);
     let mut later = Coordinator::start("127.0.0.1:0", 1).unwrap();
