The bound on answers owed to a flooding client has a test of its own

Found at the reread: who_floods_and_takes_nothing also passes when its client is ended by the stall, so nothing forced the bound of 1,024.

--- a/crates/flaxdeck-dispatcher/tests/endings.rs
+++ b/crates/flaxdeck-dispatcher/tests/endings.rs
@@ -259,6 +259,21 @@
     flooding.join().unwrap();
 }
 
+// Past a bound on what it is owed, and sooner than one that only takes nothing.
+#[test]
+fn a_client_owed_more_answers_than_it_could_ever_await_is_ended_as_flooding() {
+    let mut world = World::start(1);
+    let mut flood = narrow(world.address);
+    // More than its connection takes, so that answers wait in the process and the rest is owed.
+    let asked = (0..700).take_while(|_| flood.pull("submit", KEY, 2400, &[7; 40_000]).is_ok()).count();
+    let _ = flood.send(&ALIVE.repeat(4000)); // it may be ended in the middle of this
+    assert_eq!(asked, 700, "what is owed until then is within the bound");
+    assert!(finished(&world.pull("page", KEY, 2000, b""), KEY));
+    world.terminate();
+    world.logged(&["counted: ", "clients_flooding=1"]);
+    assert!(world.process.wait().unwrap().success());
+}
+
 #[test]
 fn a_host_that_never_ends_its_answer_costs_no_request_its_own_and_no_other() {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
