Review, case 2: new work goes to a draining host after it counts as told

Cause: a dispatcher without planners does not act on how long it has not heard the coordinator. Change: the case with its claim and script.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -6,6 +6,7 @@
 mod dispatcher;
 mod hosts;
 mod msgpack;
+mod outage;
 mod record;
 mod site;
 mod slow_writer;
@@ -49,6 +50,7 @@
     let case = case.clone();
     let played = thread::spawn(move || match case.as_str() {
         "slow-writer" => slow_writer::play(&play),
+        "outage" => outage::play(&play),
         _ => None,
     });
     // The script ends what is left of the processes if this one has to stop here.
