Review, case 3: a purged copy is served while the only planner is silent

Cause: with events by digest a forwarder asks the coordinator itself 0.9 s after the last delivery at the earliest, more than the grace of purges. Change: the case with its claim and script.

--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -7,6 +7,7 @@
 mod hosts;
 mod msgpack;
 mod outage;
+mod planner;
 mod record;
 mod site;
 mod slow_writer;
@@ -51,6 +52,7 @@
     let played = thread::spawn(move || match case.as_str() {
         "slow-writer" => slow_writer::play(&play),
         "outage" => outage::play(&play),
+        "planner" => planner::play(&play),
         _ => None,
     });
     // The script ends what is left of the processes if this one has to stop here.
