--- a/review/stand-ins/src/planner.rs
+++ b/review/stand-ins/src/planner.rs
@@ -15,13 +15,13 @@
 use crate::site::{self, CACHE, ORIGIN, PARENT};
 use crate::{Play, Verdict, msgpack};
 
-const PURGE_AT_MS: f64 = 8000.0;
+const PURGE_AT_MS: f64 = 14_000.0;
 /// The planner is stopped so long before the purge, and goes on so long after it.
 const STOPPED_BEFORE_MS: f64 = 20.0;
 const GOES_ON_AFTER_MS: f64 = 4000.0;
 /// Caches drop older copies in their own time, within `purge_settles_ms`, 6 s.
 const DROPPED_AFTER_MS: f64 = 5000.0;
-const END_MS: f64 = 13_500.0;
+const END_MS: f64 = 19_500.0;
 /// `family_info.purge_grace_ms`, and 50 ms on sockets.
 const GRACE_MS: f64 = 500.0 + 50.0;
 const FORWARDERS: u32 = 2;
