Review, case 2: a cold parent gets fills whose stated size is nothing

Cause: the size that a client states is the whole charge against a cold parent, and any positive figure is taken.

--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" outage review/2
+exec "$(dirname "$0")/../run-case.sh" cold-parent review/2
--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" planner review/3
+exec "$(dirname "$0")/../run-case.sh" outage review/3
--- a/review/stand-ins/src/coordinator.rs
+++ b/review/stand-ins/src/coordinator.rs
@@ -114,17 +114,6 @@
         number
     }
 
-    /// Adds the purge of an object, made now.
-    pub fn purge(&self, key: &str) -> u64 {
-        let object = u64::from_str_radix(key, 16).unwrap();
-        let mut payload = object.to_be_bytes().to_vec();
-        payload.extend(self.record.unix_ms(self.record.now()).to_be_bytes());
-        let number = self.add(3, payload);
-        self.record
-            .line(format_args!("coordinator: event {number}: {key} is purged"));
-        number
-    }
-
     /// Cuts the way to the dispatcher, or restores it.
     pub fn set_cut(&self, is_cut: bool) {
         self.record.line(format_args!(
--- a/review/stand-ins/src/dispatcher.rs
+++ b/review/stand-ins/src/dispatcher.rs
@@ -43,24 +43,12 @@
         config: &str,
     ) -> Option<Dispatcher> {
         let command = run_line(&std::env::current_dir().ok()?)?;
-        Dispatcher::start_with(record, folder, name, address, config, &command)?.ready(record, name)
-    }
-
-    /// Starts a process with a configuration by a command of the shell.
-    pub fn start_with(
-        record: &Shared,
-        folder: &Path,
-        name: &str,
-        address: SocketAddr,
-        config: &str,
-        command: &str,
-    ) -> Option<Dispatcher> {
         let path: PathBuf = folder.join(format!("{name}.json"));
         fs::write(&path, config).ok()?;
         let log = File::create(folder.join(format!("{name}.log"))).ok()?;
         let child = Command::new("/bin/sh")
             .arg("-c")
-            .arg(command)
+            .arg(&command)
             .env("GW_NAME", name)
             .env("GW_LISTEN", address.to_string())
             .env("GW_CONFIG", &path)
@@ -69,35 +57,23 @@
             .stderr(log)
             .spawn()
             .ok()?;
-        let pids = std::fs::OpenOptions::new()
+        let dispatcher = Dispatcher { child, address };
+        let pids = fs::OpenOptions::new()
             .create(true)
             .append(true)
             .open(folder.join("pids"));
-        writeln!(pids.ok()?, "{}", child.id()).ok()?;
+        writeln!(pids.ok()?, "{}", dispatcher.child.id()).ok()?;
         record.line(format_args!("{name}: started by: {command}"));
-        Some(Dispatcher { child, address })
-    }
-
-    /// Waits until it answers `alive` with true; none if it does not within 10 s.
-    pub fn ready(self, record: &Shared, name: &str) -> Option<Dispatcher> {
         for _ in 0..500 {
-            if is_alive(record, self.address) {
-                record.line(format_args!("{name}: ready at {}", self.address));
-                return Some(self);
+            if is_alive(record, address) {
+                record.line(format_args!("{name}: ready at {address}"));
+                return Some(dispatcher);
             }
             thread::sleep(Duration::from_millis(20));
         }
         None
     }
 
-    /// Stops the process, or has it go on.
-    pub fn signal(&self, name: &str) -> Option<()> {
-        let mut kill = Command::new("/bin/sh");
-        kill.arg("-c")
-            .arg(format!("kill -{name} {}", self.child.id()));
-        kill.status().ok()?.success().then_some(())
-    }
-
     /// Whether the process has ended by itself.
     pub fn has_ended(&mut self) -> bool {
         !matches!(self.child.try_wait(), Ok(None))
--- a/review/stand-ins/src/hosts.rs
+++ b/review/stand-ins/src/hosts.rs
@@ -3,10 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::Duration;
 
 use crate::record::Shared;
 
@@ -23,10 +21,6 @@
     pub fn field(&self, name: &str) -> &str {
         self.fields.get(name).map_or("", String::as_str)
     }
-
-    pub fn has_word(&self, word: &str) -> bool {
-        self.field("handle").split('+').any(|given| given == word)
-    }
 }
 
 pub struct Answer {
@@ -41,7 +35,6 @@
 pub struct Host {
     pub name: String,
     pub address: SocketAddr,
-    is_up: AtomicBool,
     handler: Handler,
     record: Shared,
 }
@@ -52,7 +45,6 @@
         let host = Arc::new(Host {
             name,
             address: listener.local_addr().unwrap(),
-            is_up: AtomicBool::new(true),
             handler,
             record,
         });
@@ -61,63 +53,19 @@
         host
     }
 
-    /// Has the host die, which ends its connections and refuses new ones, or start again.
-    pub fn set_up(&self, is_up: bool) {
-        self.record.line(format_args!(
-            "{}: {}",
-            self.name,
-            if is_up { "starts" } else { "dies" }
-        ));
-        self.is_up.store(is_up, Ordering::SeqCst);
-    }
-
-    pub fn is_up(&self) -> bool {
-        self.is_up.load(Ordering::SeqCst)
-    }
-
     fn accept(self: Arc<Self>, listener: TcpListener) {
-        let mut listener = Some(listener);
-        loop {
-            if !self.is_up() {
-                listener = None;
-                thread::sleep(Duration::from_millis(2));
-                continue;
-            }
-            let open = match &listener {
-                Some(open) => open,
-                None => match TcpListener::bind(self.address) {
-                    Ok(open) => listener.insert(open),
-                    Err(_) => continue,
-                },
-            };
-            open.set_nonblocking(true).unwrap();
-            match open.accept() {
-                Ok((stream, _)) => {
-                    let serving = self.clone();
-                    thread::spawn(move || serving.serve(stream));
-                }
-                Err(_) => thread::sleep(Duration::from_millis(1)),
-            }
+        for stream in listener.incoming().flatten() {
+            let serving = self.clone();
+            thread::spawn(move || serving.serve(stream));
         }
     }
 
     fn serve(self: Arc<Self>, stream: TcpStream) -> Option<()> {
-        stream.set_nonblocking(false).ok()?;
         stream.set_nodelay(true).ok()?;
-        let watched = stream.try_clone().ok()?;
-        let ended = Arc::new(AtomicBool::new(false));
-        let (host, is_over) = (self.clone(), ended.clone());
-        thread::spawn(move || {
-            while host.is_up() && !is_over.load(Ordering::SeqCst) {
-                thread::sleep(Duration::from_millis(5));
-            }
-            let _ = watched.shutdown(std::net::Shutdown::Both);
-        });
         let writer = Arc::new(Mutex::new(stream.try_clone().ok()?));
         let given_up = Arc::new(Mutex::new(BTreeSet::<String>::new()));
         let mut reader = BufReader::new(stream);
         while self.read_command(&mut reader, &writer, &given_up).is_some() {}
-        ended.store(true, Ordering::SeqCst);
         None
     }
 
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -2,12 +2,12 @@
 //! 0 if it held, and 2 if the case could not run.
 
 mod client;
+mod cold_parent;
 mod coordinator;
 mod dispatcher;
 mod hosts;
 mod msgpack;
 mod outage;
-mod planner;
 mod record;
 mod site;
 mod slow_writer;
@@ -52,7 +52,7 @@
     let played = thread::spawn(move || match case.as_str() {
         "slow-writer" => slow_writer::play(&play),
         "outage" => outage::play(&play),
-        "planner" => planner::play(&play),
+        "cold-parent" => cold_parent::play(&play),
         _ => None,
     });
     // The script ends what is left of the processes if this one has to stop here.
--- a/review/stand-ins/src/site.rs
+++ b/review/stand-ins/src/site.rs
@@ -3,12 +3,14 @@
 use crate::coordinator::{Entry, Health};
 use std::net::SocketAddr;
 
-pub const ZONES: [&str; 4] = ["northern", "central", "southern", "edge-1"];
+pub const ZONES: [&str; 6] = [
+    "northern", "central", "southern", "edge-1", "edge-2", "edge-3",
+];
 pub const KINDS: [&str; 3] = ["standard", "parent", "origin"];
 pub const CACHE: u8 = 0;
 pub const PARENT: u8 = 1;
 pub const ORIGIN: u8 = 2;
-/// Place of the dispatchers' and caches' own zone in `ZONES`.
+/// Place in `ZONES` of the first location, that of the dispatchers and caches where there is only one.
 pub const OWN_ZONE: u8 = 3;
 /// Pace of one answer to a client, KB a second; the pages say 2.1 to 11 MB.
 pub const CLIENT_KB_PER_S: f64 = 4000.0;
@@ -98,3 +100,32 @@
  "zones": ["northern", "central", "southern", "edge-1"]}}"#
     )
 }
+
+/// The settings of `enrol-portal` for the dispatcher of one of three locations, which have one dispatcher each.
+pub fn settings_of_three(location: u32) -> String {
+    settings(3)
+        .replace(
+            r#""count_by_zone": [0, 0, 0, 3]"#,
+            r#""count_by_zone": [0, 0, 0, 1, 1, 1]"#,
+        )
+        .replace(
+            r#""inlet_kb_per_s": [0.0, 0.0, 0.0, 0.0]"#,
+            r#""inlet_kb_per_s": [0.0, 0.0, 0.0, 0.0, 0.0, 0.0]"#,
+        )
+        .replace(
+            r#""zone_hub": [0, 1, 2, 0]"#,
+            r#""zone_hub": [0, 1, 2, 0, 1, 2]"#,
+        )
+        .replace(r#""my_number": 0"#, &format!(r#""my_number": {location}"#))
+        .replace(
+            r#""zone": "edge-1""#,
+            &format!(
+                r#""zone": "{}""#,
+                ZONES[(OWN_ZONE as u32 + location) as usize]
+            ),
+        )
+        .replace(
+            r#""southern", "edge-1"]}"#,
+            r#""southern", "edge-1", "edge-2", "edge-3"]}"#,
+        )
+}
