Keep a connection open past its time limits while an answer is owed on it

Callers saw: a request that was taken and was being served had no answer when its client wrote the next message slowly (over 2 s), or had read nothing for 3 s. Cause: ClientConnection::wait ended the connection at MAX_MESSAGE_TIME and at MAX_STALL, and serve marked all its open requests as left by their client. The limits are there for the memory and the place that a slow client takes, and say nothing about the client's other requests. Change: TimeLimit tells when a limit is exceeded from when it ends the connection. Past the limit a message gives up its memory once others find none (Budget::wanted), answers that have not begun become failures, and a stalled client is admitted no further request. Bytes read and not parsed yet count as input for eviction and shutdown.

--- a/crates/flaxdeck-dispatcher/src/protocol/client_answers.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/client_answers.rs
@@ -1,7 +1,6 @@
 //! Answers to a client: the single answer to each request, and direct answers that involve no host.
 
 use std::collections::VecDeque;
-use std::rc::Rc;
 
 use bytes::Bytes;
 use flaxdeck::Span;
@@ -9,6 +8,8 @@
 use flaxdeck_net::link::Outbound;
 use flaxdeck_wire::{Answer, InvalidRequest, rpc};
 
+use super::open_requests::OpenRequest;
+
 /// While this many answers are queued for a client, further direct answers are deferred and not encoded yet. Twice the
 /// number of requests that a client may have open.
 const MAX_QUEUED: usize = 64;
@@ -22,8 +23,7 @@
     outbound: Outbound,
     call: u32,
     slot: Option<Permit>,
-    /// A clone of the connection's counter of open requests.
-    _open: Rc<()>,
+    _open: OpenRequest,
 }
 
 impl Responder {
@@ -33,7 +33,7 @@
         outbound: Outbound,
         call: u32,
         slot: Option<Permit>,
-        open: Rc<()>,
+        open: OpenRequest,
     ) -> Responder {
         Responder {
             outbound,
@@ -43,10 +43,13 @@
         }
     }
 
-    /// Sends the answer. `permit` is the permit for its bytes, held until they are written.
+    /// Sends the answer. `permit` is the permit for its bytes, held until they are written or the answer is replaced by
+    /// a failure as the client does not read.
     pub(crate) fn send(self, answer: Answer, permit: Option<Permit>) {
         let pieces = rpc::encode_answer(self.call, answer);
-        self.outbound.send(pieces, [self.slot, permit]);
+        let substitute = rpc::encode_failed(self.call);
+        self.outbound
+            .send_replaceable(pieces, [self.slot, permit], substitute);
     }
 }
 
--- a/crates/flaxdeck-dispatcher/src/protocol/client_connection.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/client_connection.rs
@@ -11,18 +11,21 @@
 use bytes::Buf;
 use flaxdeck_net::budget::{Budget, MAX_SMALL_MESSAGE, Permit};
 use flaxdeck_net::link::{self, Inbound, Outbound, Unread};
-use flaxdeck_net::metrics::{Counter, count};
+use flaxdeck_net::metrics::{Counter, count, count_by};
 use flaxdeck_terms::Names;
 use flaxdeck_wire::rpc::{self, ClientMessage, PartialRequest};
 use flaxdeck_wire::{ClientRequest, Parsed};
 use tokio::net::TcpStream;
-use tokio::time::{Instant, sleep_until};
+use tokio::time::Instant;
 
 use super::client_answers::DeferredAnswers;
 pub(crate) use super::client_answers::{DirectAnswer, Responder};
 use super::message_read::{MessageRead, WaitOutcome};
+use super::open_requests::OpenRequests;
+use super::time_limit::TimeLimit;
 
-/// How long a client may read nothing while answers wait for it, as they hold memory that others could use.
+/// How long a client may read nothing while answers wait for it, as they hold memory that others could use. After that
+/// the answers that have not begun are replaced by failures, and the connection ends once no answer is owed on it.
 const MAX_STALL: Duration = Duration::from_secs(3);
 /// How long a message may wait for memory before it is discarded and rejected. That delays no
 /// cancellation: the end of the connection is noticed meanwhile, and the client has no other request open that a later
@@ -32,7 +35,8 @@
 /// them, 0.1 s after which no attempt may start any more. The rest of the 0.1 s is for reading and for a busy machine.
 const MAX_MEMORY_WAIT_WITH_OPEN_REQUESTS: Duration = Duration::from_millis(40);
 /// How long a message may take from its first byte to its last, and the first message from the start of the connection.
-/// Rejections are due within 3 s of connecting, and a connection may have waited a while to be accepted.
+/// Rejections are due within 3 s of connecting, and a connection may have waited a while to be accepted. While an answer
+/// is owed on the connection the message may take longer, but it gives up its memory if others need it.
 const MAX_MESSAGE_TIME: Duration = Duration::from_millis(2000);
 
 /// An event on a client's connection.
@@ -74,8 +78,9 @@
     has_partial: Rc<Cell<bool>>,
     /// When a message first found no memory; cleared once everything received behind that message is processed.
     memory_wait_since: Option<Instant>,
-    /// Cloned into each responder, so that its reference count shows whether requests are open.
-    open: Rc<()>,
+    open: Rc<OpenRequests>,
+    /// The longest time that a client waits for an answer.
+    longest_wait: Duration,
     /// The request that is being discarded, with the number of bytes that are still to be received.
     discarded: Option<PartialRequest>,
     deferred: DeferredAnswers,
@@ -111,10 +116,12 @@
 
 impl ClientConnection {
     /// Takes over a connection that was just accepted. Messages hold permits of `request_bytes` while they are read.
+    /// No client waits for an answer for more than `longest_wait`.
     pub(crate) fn new(
         stream: TcpStream,
         names: Rc<Names>,
         request_bytes: Rc<Budget>,
+        longest_wait: Duration,
     ) -> ClientConnection {
         let (inbound, outbound) = link::split(stream);
         ClientConnection {
@@ -126,7 +133,8 @@
             awaited_since: Some(Instant::now()),
             has_partial: Rc::default(),
             memory_wait_since: None,
-            open: Rc::new(()),
+            open: Rc::default(),
+            longest_wait,
             discarded: None,
             deferred: DeferredAnswers::default(),
         }
@@ -134,14 +142,31 @@
 
     /// Sends an answer that involves no host, or defers it while the client does not read what is queued for it.
     pub(crate) fn answer_directly(&mut self, call: u32, answer: DirectAnswer) {
+        // A client that never reads must not extend the life of its connection by sending more.
+        if !self.is_stalled() {
+            self.open
+                .note_waiting_until(Instant::now() + self.longest_wait);
+        }
         self.deferred.push(call, answer);
         self.deferred.send(&self.outbound);
     }
 
-    /// Returns the responder to the request with that call number. `slot` is the request's permit, held until the
-    /// answer is written.
-    pub(crate) fn responder(&self, call: u32, slot: Option<Permit>) -> Responder {
-        Responder::new(self.outbound.clone(), call, slot, self.open.clone())
+    /// Returns the responder to the request with that call number, whose client waits for `timeout`. `slot` is the
+    /// request's permit, held until the answer is written.
+    pub(crate) fn responder(
+        &self,
+        call: u32,
+        slot: Option<Permit>,
+        timeout: Duration,
+    ) -> Responder {
+        let client_waits_until = Instant::now() + timeout.min(self.longest_wait);
+        let open = self.open.add(client_waits_until);
+        Responder::new(self.outbound.clone(), call, slot, open)
+    }
+
+    /// Whether the client has read nothing for longer than it may while answers wait for it.
+    pub(crate) fn is_stalled(&self) -> bool {
+        self.stalled_at().is_some_and(|at| at <= Instant::now())
     }
 
     /// Returns a handle that observes and closes this connection.
@@ -186,12 +211,19 @@
             if self.outbound.is_closed() {
                 return ClientEvent::Closed;
             }
+            if self.is_stalled() {
+                let withdrawn = self.outbound.withdraw_unstarted();
+                count_by(Counter::answers_withdrawn, withdrawn as u64);
+            }
             if self.deferred.is_flood() {
                 count(Counter::clients_flooding);
                 return ClientEvent::Closed;
             }
             let missing = match self.process_buffer() {
-                Parsed::Complete(event) => return event,
+                Parsed::Complete(event) => {
+                    self.has_partial.set(self.has_unparsed());
+                    return event;
+                }
                 Parsed::Incomplete(missing) => missing,
             };
             self.inbound.release_buffer();
@@ -257,7 +289,7 @@
         Parsed::Incomplete(missing.min(MAX_SMALL_MESSAGE))
     }
 
-    /// Starts to discard the message for which there was no memory. Returns false if it is not a request of which only
+    /// Starts to discard the message for which there is no memory. Returns false if it is not a request of which only
     /// a part of the body is missing.
     fn begin_discarding(&mut self) -> bool {
         self.discarded = rpc::partial_request(&self.inbound.bytes);
@@ -269,6 +301,7 @@
             return false;
         }
         self.inbound.bytes.clear();
+        self.permit = None;
         true
     }
 
@@ -292,9 +325,12 @@
             self.inbound.bytes.len() + missing
         };
         let memory_by = self.memory_deadline(message_bytes);
-        let message_by = self.awaited_since.map(|since| since + MAX_MESSAGE_TIME);
-        // Measured from when bytes began to wait to be written, not from the start of the connection.
-        let stalled_at = self.outbound.stalled_since().map(|since| since + MAX_STALL);
+        let owed_until = self.owed_until();
+        let message = self
+            .awaited_since
+            .map(|since| TimeLimit::new(since + MAX_MESSAGE_TIME, owed_until));
+        let stall = self.stalled_at().map(|at| TimeLimit::new(at, owed_until));
+        let holds_memory = self.permit.is_some();
         let read = MessageRead {
             inbound: &mut self.inbound,
             outbound: &self.outbound,
@@ -306,21 +342,40 @@
         };
         tokio::select! {
             outcome = read.run() => outcome,
-            () = sleep_until_some(message_by), if message_by.is_some() => {
+            () = TimeLimit::ends(message) => {
                 count(Counter::clients_not_whole);
                 WaitOutcome::Closed
             }
+            () = TimeLimit::exceeded_and_wanted(message, &self.request_bytes), if holds_memory => {
+                count(Counter::messages_displaced);
+                WaitOutcome::NoMemory
+            }
             written = self.outbound.write_some(), if has_pending => {
                 if written.is_ok() { WaitOutcome::Progress } else { WaitOutcome::Closed }
             }
-            () = sleep_until_some(stalled_at), if stalled_at.is_some() => {
+            () = TimeLimit::ends(stall) => {
                 count(Counter::clients_stalled);
                 WaitOutcome::Closed
             }
+            () = TimeLimit::exceeded(stall) => WaitOutcome::Progress,
+            () = self.open.ended() => WaitOutcome::Progress,
             () = self.outbound.notified() => WaitOutcome::Progress,
         }
     }
 
+    /// Returns until when an answer is owed on this connection; none if every request is answered and its answer
+    /// written.
+    fn owed_until(&self) -> Option<Instant> {
+        let owes_answer = self.open.any() || self.outbound.has_pending();
+        self.open.answers_due().filter(|_| owes_answer)
+    }
+
+    /// Returns when the client will have read nothing for too long. The time counts from when bytes began to wait to be
+    /// written, not from the start of the connection.
+    fn stalled_at(&self) -> Option<Instant> {
+        self.outbound.stalled_since().map(|since| since + MAX_STALL)
+    }
+
     /// Acquires the memory of a message if it is free now; otherwise returns until when the message may wait for it.
     fn memory_deadline(&mut self, message_bytes: usize) -> Option<Instant> {
         if message_bytes <= MAX_SMALL_MESSAGE || self.permit.is_some() {
@@ -330,8 +385,7 @@
         if self.permit.is_some() {
             return None;
         }
-        let has_open = Rc::strong_count(&self.open) > 1;
-        let max_wait = if has_open {
+        let max_wait = if self.open.any() {
             MAX_MEMORY_WAIT_WITH_OPEN_REQUESTS
         } else {
             MAX_MEMORY_WAIT
@@ -340,8 +394,3 @@
         Some(wait_since + max_wait)
     }
 }
-
-/// Waits until that time. Without one it returns at once, so the caller has to disable its branch.
-async fn sleep_until_some(time: Option<Instant>) {
-    sleep_until(time.unwrap_or_else(Instant::now)).await;
-}
--- a/crates/flaxdeck-dispatcher/src/protocol/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/mod.rs
@@ -13,3 +13,5 @@
 mod host_connection;
 pub(crate) mod host_connections;
 mod message_read;
+mod open_requests;
+mod time_limit;
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -7,6 +7,7 @@
 
 use flaxdeck::RequestId;
 use flaxdeck_net::budget::Permit;
+use flaxdeck_net::clock::to_duration;
 use flaxdeck_net::link::LINGER;
 use flaxdeck_net::listener::Listener;
 use flaxdeck_net::metrics::{Counter, count};
@@ -80,8 +81,12 @@
 }
 
 fn start_serving(router: &Rc<Router>, stream: TcpStream, permit: Permit) {
-    let connection =
-        ClientConnection::new(stream, router.names.clone(), router.request_bytes.clone());
+    let connection = ClientConnection::new(
+        stream,
+        router.names.clone(),
+        router.request_bytes.clone(),
+        to_duration(router.longest_wait),
+    );
     let client = Rc::new(Client {
         requests: RefCell::default(),
         quiet_since: Cell::new(Instant::now()),
@@ -226,12 +231,14 @@
         request: Box<ClientRequest>,
     ) {
         let mut requests = self.requests.borrow_mut();
-        let is_within_limit = requests.len() + self.handle.pending_answers() < MAX_OPEN_REQUESTS;
+        let is_within_limit = requests.len() + self.handle.pending_answers() < MAX_OPEN_REQUESTS
+            && !connection.is_stalled();
         let slot = router.slots.try_acquire();
         let bytes = router.request_bytes.try_acquire_many(request.body.len());
         match bytes.filter(|_| is_within_limit && slot.is_some()) {
             Some(bytes) => {
-                let responder = connection.responder(call, slot);
+                let timeout = to_duration(request.timeout);
+                let responder = connection.responder(call, slot, timeout);
                 requests.insert(call, router.start_request(request, responder, bytes));
             }
             None => reject_for_capacity(router, connection, call),
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -60,6 +60,8 @@
     zone: ZoneId,
     /// The time after which hosts have dropped purged copies by themselves.
     purge_settles: Span,
+    /// The longest time that a client waits for an answer.
+    longest_wait: Span,
     host_connections: Rc<HostConnections>,
     /// One permit for each request, held until its answer is written.
     slots: Budget,
@@ -90,6 +92,7 @@
     ) -> Rc<Router> {
         let answer_bytes = Rc::new(Budget::new(bounds.response_bytes));
         let (zone, purge_settles) = (terms.zone, terms.purge_settles);
+        let longest_wait = connection_terms.longest_wait;
         Rc::new(Router {
             clock,
             engine: RefCell::new(PolledEngine::start(clock.now(), seed, terms)),
@@ -104,6 +107,7 @@
             names,
             zone,
             purge_settles,
+            longest_wait,
             slots: Budget::new(bounds.requests),
             request_bytes: Rc::new(Budget::new(bounds.request_bytes)),
             answer_bytes,
--- a/crates/flaxdeck-net/src/budget.rs
+++ b/crates/flaxdeck-net/src/budget.rs
@@ -70,6 +70,8 @@
     capacity: Cell<usize>,
     /// Wakes the waiters when units are released, the capacity changes or a waiter leaves the queue.
     released: Notify,
+    /// Notified when units are asked for and are not free.
+    wanted: Notify,
     /// The tickets of the waiters, in order of arrival.
     waiting: RefCell<VecDeque<u64>>,
     next_ticket: Cell<u64>,
@@ -97,6 +99,7 @@
             in_use: Cell::new(0),
             capacity: Cell::new(capacity),
             released: Notify::new(),
+            wanted: Notify::new(),
             waiting: RefCell::default(),
             next_ticket: Cell::new(0),
         }))
@@ -116,10 +119,16 @@
     /// Acquires `units` at once if they are free and nobody is waiting.
     pub fn try_acquire_many(&self, units: usize) -> Option<Permit> {
         let has_waiters = units > 0 && !self.0.waiting.borrow().is_empty();
-        if has_waiters {
-            return None;
+        if !has_waiters && let Some(permit) = self.acquire_free(units) {
+            return Some(permit);
         }
-        self.acquire_free(units)
+        self.0.wanted.notify_waiters();
+        None
+    }
+
+    /// Waits until units are asked for that are not free.
+    pub async fn wanted(&self) {
+        self.0.wanted.notified().await;
     }
 
     /// Acquires `units` if they are free, regardless of waiters.
@@ -147,6 +156,7 @@
             if is_first && let Some(permit) = self.acquire_free(units.min(self.0.capacity.get())) {
                 return permit;
             }
+            self.0.wanted.notify_waiters();
             released.await;
         }
     }
--- a/crates/flaxdeck-net/src/link.rs
+++ b/crates/flaxdeck-net/src/link.rs
@@ -105,7 +105,9 @@
 /// A message to be sent, with the permits that it holds until it is fully written.
 struct QueuedMessage {
     pieces: VecDeque<Bytes>,
-    _permits: [Option<Permit>; 2],
+    permits: [Option<Permit>; 2],
+    /// A shorter message that may replace this one while none of it is written.
+    substitute: Option<Bytes>,
 }
 
 struct Queue {
@@ -175,6 +177,25 @@
     /// Queues one message and writes as much of the queue as possible without blocking. The permits are released once
     /// the message is fully written or the queue is dropped. If the connection is closed, the message is discarded.
     pub fn send(&self, pieces: impl IntoIterator<Item = Bytes>, permits: [Option<Permit>; 2]) {
+        self.enqueue(pieces, permits, None);
+    }
+
+    /// The same with a shorter message that [`Outbound::withdraw_unstarted`] may put in the place of this one.
+    pub fn send_replaceable(
+        &self,
+        pieces: impl IntoIterator<Item = Bytes>,
+        permits: [Option<Permit>; 2],
+        substitute: Bytes,
+    ) {
+        self.enqueue(pieces, permits, Some(substitute));
+    }
+
+    fn enqueue(
+        &self,
+        pieces: impl IntoIterator<Item = Bytes>,
+        permits: [Option<Permit>; 2],
+        substitute: Option<Bytes>,
+    ) {
         if self.is_closed() {
             return;
         }
@@ -184,13 +205,29 @@
             .collect();
         self.queue.borrow_mut().messages.push_back(QueuedMessage {
             pieces,
-            _permits: permits,
+            permits,
+            substitute,
         });
         if self.write().is_err() || self.has_pending() {
             self.changed.notify_one();
         }
     }
 
+    /// Replaces queued messages of which nothing is written by their substitutes, which releases their permits. Returns
+    /// the number of messages replaced.
+    pub fn withdraw_unstarted(&self) -> usize {
+        let mut queue = self.queue.borrow_mut();
+        let mut withdrawn = 0;
+        for message in &mut queue.messages {
+            if let Some(substitute) = message.substitute.take() {
+                message.pieces = VecDeque::from([substitute]);
+                message.permits = [None, None];
+                withdrawn += 1;
+            }
+        }
+        withdrawn
+    }
+
     /// Whether the queue holds a message that is not fully written.
     pub fn has_pending(&self) -> bool {
         self.pending_messages() > 0
@@ -323,6 +360,9 @@
     /// Removes `count` written bytes from the front of the queue, and the messages that are thereby complete.
     fn advance(&mut self, mut count: usize) {
         while let Some(message) = self.messages.front_mut() {
+            if count > 0 {
+                message.substitute = None;
+            }
             while let Some(piece) = message.pieces.front_mut() {
                 let part = piece.len().min(count);
                 piece.advance(part);
--- a/crates/flaxdeck-net/src/metrics.rs
+++ b/crates/flaxdeck-net/src/metrics.rs
@@ -33,6 +33,10 @@
     clients_closed_silent,
     /// Client connections closed as a message was not completely received in time.
     clients_not_whole,
+    /// Messages of clients that were too slow, discarded as others needed their memory; their requests are rejected.
+    messages_displaced,
+    /// Answers replaced by failures before any of them was written, as the client read nothing for too long.
+    answers_withdrawn,
     /// Client connections closed as too many answers were pending for a client that did not read them.
     clients_flooding,
     /// Requests admitted.
