Take the sizes that clients state as claims until answers have shown them

Cause: record_attempt charged a cold parent the stated size, and estimate_transfer_ms fed it to the class's mean, so that claims of nothing fitted any share. Slowdowns, bandwidth and the time to blame took it at its word too. Evidence: the same 192 requests with their real size kept the bound (nine fills). Change: AnswerSizes compares the bytes of an answer with the stated KB by the configuration's two paces. At a cold parent claims without an answer count for the mean less chance (expected_work), and an answer settles its charge. The mean follows claims to 0.8 to 2 times that of answers. Shorter and unchanged answers feed nothing.

--- a/crates/flaxdeck-adapter/src/instance.rs
+++ b/crates/flaxdeck-adapter/src/instance.rs
@@ -141,6 +141,8 @@
             closed: fields.flag_or_false("no_more")?,
             fill: fill_outcome(fields.unsigned_or_none("detail")?.unwrap_or(0)),
             waited: fields.number_or_none("waited_ms")?.map(Span::of_ms),
+            actual_kb: None,
+            unchanged: false,
             report: self.load_report(fields)?,
         })
     }
--- a/crates/flaxdeck-control/examples/size.rs
+++ b/crates/flaxdeck-control/examples/size.rs
@@ -201,6 +201,7 @@
         joins: false,
         client_kb_per_s: 11_000.0,
         purge_settles: Span::from_ms(2000),
+        sizes_are_claims: false,
         reports_link_load: true,
         may_poll_load: false,
     }
@@ -287,6 +288,8 @@
                 closed: true,
                 fill: FillOutcome::Hit,
                 waited: None,
+                actual_kb: None,
+                unchanged: false,
                 report: LoadReport::default(),
             };
             engine.attempt_ended(now, ended);
--- a/crates/flaxdeck-dispatcher/src/control.rs
+++ b/crates/flaxdeck-dispatcher/src/control.rs
@@ -78,9 +78,18 @@
         connection_terms,
         bounds,
         seed,
+        flow_bytes_per_s,
         ..
     } = configuration;
-    let router = Router::new(clock, seed, terms, names, connection_terms, bounds);
+    let router = Router::new(
+        clock,
+        seed,
+        terms,
+        names,
+        connection_terms,
+        bounds,
+        flow_bytes_per_s,
+    );
     // Before the first endpoint list is applied, so that from then on a guided forwarder uses no more than its own
     // quotas.
     if let Some(options) = options {
--- a/crates/flaxdeck-dispatcher/src/program/start.rs
+++ b/crates/flaxdeck-dispatcher/src/program/start.rs
@@ -34,6 +34,8 @@
     pub connection_terms: ConnectionTerms,
     /// The limits on this process's memory and connections.
     pub bounds: Bounds,
+    /// The pace of one answer to a client in bytes a second, if it is known.
+    pub flow_bytes_per_s: Option<f64>,
     /// The seed of all random decisions.
     pub seed: u64,
     /// The settings as they are in the file, to notice whether a reloaded configuration changes them.
@@ -88,6 +90,10 @@
     let seed = parse_seed(fields.text("seed")?)?;
     let settings = fields.inner("settings")?;
     let (terms, names) = flaxdeck_terms::read(&settings).map_err(ConfigurationError::Settings)?;
+    let terms = DeploymentTerms {
+        sizes_are_claims: true,
+        ..terms
+    };
     let names = Rc::new(names);
     let known = fields.inner("known")?;
     let (watch, configured_events) =
@@ -104,6 +110,7 @@
         names,
         connection_terms,
         bounds,
+        flow_bytes_per_s: fields.number_or_none("flow_bytes_per_s")?,
         seed,
         settings: Value::Object(settings.0.clone()),
     })
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -10,6 +10,7 @@
 //! Everything runs on one thread and one `LocalSet`. No cell is borrowed across an await. [`Router::shut_down`] has to
 //! be called at the end, since the router's tasks hold references to it.
 
+mod answer_sizes;
 mod client_connections;
 mod clients;
 mod control_client;
@@ -40,6 +41,7 @@
 pub(crate) use persistence::restore;
 
 use crate::protocol::host_connections::HostConnections;
+use answer_sizes::AnswerSizes;
 use client_connections::ClientConnections;
 use control_client::ControlClient;
 use coordinator::PendingReload;
@@ -62,6 +64,7 @@
     purge_settles: Span,
     /// The longest time that a client waits for an answer.
     longest_wait: Span,
+    answer_sizes: AnswerSizes,
     host_connections: Rc<HostConnections>,
     /// One permit for each request, held until its answer is written.
     slots: Budget,
@@ -81,7 +84,8 @@
 }
 
 impl Router {
-    /// Creates a router that knows no hosts and serves no clients yet.
+    /// Creates a router that knows no hosts and serves no clients yet. `flow_bytes_per_s` is the pace of one answer, if
+    /// the configuration tells it.
     pub(crate) fn new(
         clock: Clock,
         seed: u64,
@@ -89,10 +93,12 @@
         names: Rc<Names>,
         connection_terms: ConnectionTerms,
         bounds: Bounds,
+        flow_bytes_per_s: Option<f64>,
     ) -> Rc<Router> {
         let answer_bytes = Rc::new(Budget::new(bounds.response_bytes));
         let (zone, purge_settles) = (terms.zone, terms.purge_settles);
         let longest_wait = connection_terms.longest_wait;
+        let answer_sizes = AnswerSizes::new(flow_bytes_per_s, &terms);
         Rc::new(Router {
             clock,
             engine: RefCell::new(PolledEngine::start(clock.now(), seed, terms)),
@@ -108,6 +114,7 @@
             zone,
             purge_settles,
             longest_wait,
+            answer_sizes,
             slots: Budget::new(bounds.requests),
             request_bytes: Rc::new(Budget::new(bounds.request_bytes)),
             answer_bytes,
--- a/crates/flaxdeck-dispatcher/src/routing/requests.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/requests.rs
@@ -70,8 +70,8 @@
             object: client_request.object,
             part: client_request.part,
             group: client_request.group,
-            size_kb: client_request.size_kb,
-            deadline: self.clock.now() + client_request.timeout,
+            size_kb: self.answer_sizes.limited(client_request.size_kb),
+            deadline: self.clock.now() + client_request.timeout.min(self.longest_wait),
             is_retry: client_request.is_retry,
         };
         let entry = self
@@ -257,6 +257,26 @@
         self.report_attempt_end(attempt, reply);
     }
 
+    /// Returns the size of an answer in KB if it contradicts the one that the client stated.
+    fn contradicting_size(&self, reply: &HostReply) -> Option<f64> {
+        if reply.outcome != AttemptOutcome::Answered || reply.unchanged {
+            return None;
+        }
+        let request = &self.client_request;
+        let actual_kb = self.router.answer_sizes.contradiction(
+            request.class,
+            request.size_kb,
+            reply.body.len(),
+        )?;
+        count(Counter::sizes_contradicted);
+        log::debug!(
+            "request {} has an answer of {actual_kb:.1} KB, stated were {:?}",
+            self.id.0,
+            request.size_kb
+        );
+        Some(actual_kb)
+    }
+
     fn report_attempt_end(&self, attempt: RunningAttempt, reply: HostReply) {
         let (outcome, fill, link) = (&reply.outcome, &reply.fill, &reply.report.link);
         log::debug!(
@@ -265,6 +285,7 @@
             attempt.index.0,
             attempt.host.0
         );
+        let actual_kb = self.contradicting_size(&reply);
         self.router.report(Input::AttemptEnded(AttemptEnded {
             request: self.id,
             index: attempt.index,
@@ -274,6 +295,8 @@
             closed: self.responder.is_none(),
             fill: reply.fill,
             waited: reply.waited,
+            actual_kb,
+            unchanged: reply.unchanged,
             report: reply.report,
         }));
     }
--- a/crates/flaxdeck-dispatcher/tests/settings.rs
+++ b/crates/flaxdeck-dispatcher/tests/settings.rs
@@ -341,6 +341,8 @@
         closed: false,
         fill,
         waited: None,
+        actual_kb: None,
+        unchanged: false,
         report,
     }
 }
--- a/crates/flaxdeck-fleet/src/model/attempts.rs
+++ b/crates/flaxdeck-fleet/src/model/attempts.rs
@@ -161,6 +161,8 @@
                 .fill_took_ms
                 .filter(|_| attempt.source != attempt.host)
                 .map(Span::of_ms),
+            actual_kb: None,
+            unchanged: false,
             report: LoadReport {
                 link: over_link.then(|| self.zone_links[host.zone].load),
                 in_flight: answered.then_some(host.reported_load),
--- a/crates/flaxdeck-net/src/metrics.rs
+++ b/crates/flaxdeck-net/src/metrics.rs
@@ -47,6 +47,8 @@
     requests_no_room,
     /// Requests not accepted as their id belongs to another request that still has attempts in flight.
     requests_id_in_use,
+    /// Answers whose size is not the one that their client stated.
+    sizes_contradicted,
     /// Requests answered with an object.
     served,
     /// Requests answered with the message that the client's own copy is current.
--- a/crates/flaxdeck-scale/examples/decisions.rs
+++ b/crates/flaxdeck-scale/examples/decisions.rs
@@ -168,6 +168,8 @@
         closed: true,
         fill: FillOutcome::Hit,
         waited: None,
+        actual_kb: None,
+        unchanged: false,
         report: LoadReport::default(),
     }
 }
@@ -226,6 +228,7 @@
         joins: false,
         client_kb_per_s: 11_000.0,
         purge_settles: Span::of_ms(settles_ms),
+        sizes_are_claims: true,
         reports_link_load: true,
         may_poll_load: false,
     }
--- a/crates/flaxdeck-wire/src/rpc/request.rs
+++ b/crates/flaxdeck-wire/src/rpc/request.rs
@@ -10,6 +10,8 @@
 use crate::msgpack::Reader;
 use crate::{ClientRequest, InvalidRequest, ReadError};
 
+/// The size of one byte in KB, less than which no object has.
+const MIN_SIZE_KB: f64 = 0.001;
 /// Hex digits of a request id and of an object key.
 const HEX_DIGITS: usize = 16;
 
@@ -83,7 +85,7 @@
             "retry" => self.is_retry = value == "1",
             "slice" => self.part = value.parse().map_err(|_| InvalidRequest::Part)?,
             "set" => self.group = value.parse().map_err(|_| InvalidRequest::Group)?,
-            "kb" => self.size_kb = Some(read_number(value).ok_or(InvalidRequest::Size)?),
+            "kb" => self.size_kb = Some(read_size_kb(value).ok_or(InvalidRequest::Size)?),
             "seen" if is_word(value) => self.cached_tag = Some(range),
             "seen" => return Err(InvalidRequest::Tag),
             "once" if is_word(value) => self.idempotency_key = Some(range),
@@ -127,6 +129,11 @@
         .filter(|number| (0.0..1e9).contains(number))
 }
 
+/// Reads a size in KB, which is 0 if it is not known; none for a size that no object can have.
+fn read_size_kb(value: &str) -> Option<f64> {
+    read_number(value).filter(|kb| *kb == 0.0 || *kb >= MIN_SIZE_KB)
+}
+
 /// Whether a line to a host can contain the value unescaped.
 fn is_word(value: &str) -> bool {
     let is_plain = |byte: u8| byte.is_ascii_graphic() && !b",=+".contains(&byte);
--- a/src/attempt.rs
+++ b/src/attempt.rs
@@ -89,6 +89,11 @@
     pub fill: FillOutcome,
     /// How long the fill waited for the source's first byte, or until it failed.
     pub waited: Option<Span>,
+    /// The size of the answer in KB, if it was measured and is not the one that the client stated; `None` if the two
+    /// agree, or if there is nothing to measure.
+    pub actual_kb: Option<f64>,
+    /// Whether the answer was that the client's copy is current, which takes no transfer.
+    pub unchanged: bool,
     /// The load that the host reported with the answer.
     pub report: LoadReport,
 }
--- a/src/decision/cache_selection.rs
+++ b/src/decision/cache_selection.rs
@@ -14,7 +14,7 @@
     /// `link_open` tells whether the location's link has capacity for a fill.
     pub(super) fn select_cache(&self, state: &RequestState, link_open: bool) -> Option<HostId> {
         let class = self.class_of(&state.request);
-        let cost = class.warmup_cost(state.transfer_ms);
+        let cost = class.warmup_cost(Role::Cache, state.transfer_ms);
         let may_try = self.is_idempotent(state) && state.attempts == 0;
         let mut caches = self.in_hash_order(Role::Cache, &state.request);
         self.note_unmet_demand(caches.first(), cost);
@@ -28,7 +28,7 @@
             .iter()
             .map(|cache| self.load(cache))
             .min_by(f64::total_cmp)?;
-        let relative_size = state.transfer_ms / class.mean_transfer_ms.max(1.0);
+        let relative_size = state.transfer_ms / class.mean_transfer_ms().max(1.0);
         let max_load = max_admitted_load(relative_size, least, link_open);
         caches
             .iter()
--- a/src/decision/clearance.rs
+++ b/src/decision/clearance.rs
@@ -3,7 +3,7 @@
 use crate::{AttemptIndex, Clearance, RequestId, Role, Time};
 
 use super::DecisionEngine;
-use super::state::Host;
+use super::state::{Host, WarmupCost};
 
 impl DecisionEngine {
     /// Decides whether an attempt may still be sent now that its connection is established, and on which terms.
@@ -49,6 +49,7 @@
             return false;
         }
         let warm = self.capacity_over_window(host, self.now) >= 1.0;
-        warm || host.is(Role::Origin) || (is_charged && self.fits_slow_start(host, 0.0))
+        warm || host.is(Role::Origin)
+            || (is_charged && self.fits_slow_start(host, WarmupCost::NONE))
     }
 }
--- a/src/decision/completed_attempt.rs
+++ b/src/decision/completed_attempt.rs
@@ -9,10 +9,12 @@
     pub(super) attempt: AttemptState,
     pub(super) ended: AttemptEnded,
     pub(super) class: ClassId,
-    /// The request's expected transfer time, in ms.
+    /// The request's expected transfer time, in ms; that of the answer if it was larger than stated.
     pub(super) transfer_ms: f64,
     /// Whether the size of the request is known.
     pub(super) size_known: bool,
+    /// Whether the answer did not contradict the size, or has shown it.
+    pub(super) size_verified: bool,
     /// The size in KB, if the sources for the request are compared by bandwidth.
     pub(super) large_kb: Option<f64>,
     /// Whether its host is a cache, or no longer known.
@@ -26,6 +28,11 @@
         self.ended.outcome == AttemptOutcome::Answered
     }
 
+    /// Whether its duration is that of a transfer of the known size.
+    pub(super) fn shows_transfer(&self) -> bool {
+        self.is_answered() && !self.ended.unchanged && self.size_verified
+    }
+
     /// Whether a parent rejected the fill, which is a sign of load and not a failure.
     pub(super) fn parent_is_full(&self) -> bool {
         self.from_parent && self.ended.fill == FillOutcome::SourceRefused
--- a/src/decision/completion.rs
+++ b/src/decision/completion.rs
@@ -63,6 +63,7 @@
         self.now = now;
         if let Some(completed) = self.complete_attempt(ended) {
             self.ready.insert(completed.ended.request);
+            self.record_size(&completed);
             self.record_slowdowns(&completed);
             self.release_attempt(&completed);
             self.adjust_limits(&completed);
@@ -76,17 +77,30 @@
     /// Removes an ended attempt from its request; returns `None` if the request or the attempt is no longer known.
     fn complete_attempt(&mut self, ended: AttemptEnded) -> Option<CompletedAttempt> {
         let origin_healthy = ended.fill == FillOutcome::SourceRefused && self.origin_is_healthy();
+        let longer_ms = self.transfer_ms_of(ended.actual_kb);
         let id: RequestId = ended.request;
         let state = self.requests.get_mut(&id)?;
         let attempt = state.remove_attempt(&ended)?;
-        let class = &self.classes[state.request.class.0];
+        let class = &mut self.classes[state.request.class.0];
         let is_large = class.is_large(&state.request);
+        // An answer that is shorter than stated may be spoilt, so it verifies nothing.
+        let larger_kb = ended
+            .actual_kb
+            .filter(|kb| Some(*kb) > state.request.size_kb);
+        let size_verified = ended.actual_kb.is_none() || larger_kb.is_some();
+        if larger_kb.is_some() {
+            class.doubt_sizes(self.now);
+        }
+        let size_kb = larger_kb.or(state.request.size_kb);
         let role_of = |id: &HostId| self.hosts.get(id).map(|host| host.endpoint.role);
         let completed = CompletedAttempt {
             class: state.request.class,
-            transfer_ms: state.transfer_ms,
-            size_known: state.request.size_kb.is_some(),
-            large_kb: state.request.size_kb.filter(|_| is_large),
+            transfer_ms: longer_ms
+                .filter(|_| larger_kb.is_some())
+                .unwrap_or(state.transfer_ms),
+            size_known: size_kb.is_some(),
+            size_verified,
+            large_kb: size_kb.filter(|_| is_large && size_verified),
             through_cache: role_of(&attempt.host).is_none_or(|role| role == Role::Cache),
             from_parent: role_of(&attempt.source) == Some(Role::Parent),
             attempt,
@@ -103,6 +117,24 @@
         Some(completed)
     }
 
+    /// Adds the size of an answer to the mean of its class, and charges it to a cold source.
+    ///
+    /// Guards against means and charges that rest on the word of clients: a size counts once it was delivered.
+    fn record_size(&mut self, completed: &CompletedAttempt) {
+        let (attempt, ended) = (&completed.attempt, &completed.ended);
+        if !completed.shows_transfer() {
+            return;
+        }
+        if completed.size_known {
+            self.classes[completed.class.0].record_delivered(completed.transfer_ms);
+        }
+        if let Some(source) = self.hosts.get_mut(&attempt.source)
+            && !source.is(Role::Cache)
+        {
+            source.settle_charge(ended.request, ended.index, completed.transfer_ms);
+        }
+    }
+
     /// Whether the origin is usable, and its concurrency window is at least as wide as at the start.
     fn origin_is_healthy(&self) -> bool {
         self.origin()
--- a/src/decision/constants.rs
+++ b/src/decision/constants.rs
@@ -9,6 +9,16 @@
 /// Cap on the sample count of a class's mean transfer time. The mean is trusted once the cap is reached; from then on
 /// each new sample has a weight of one over the cap.
 pub(super) const MAX_MEAN_SAMPLES: f64 = 100.0;
+/// Samples of answers from which their mean bounds that of stated sizes: enough to be within [`MAX_UNDERSTATEMENT`] of
+/// the true one where sizes vary by as much as their mean.
+pub(super) const MIN_VERIFIED_SAMPLES: f64 = 25.0;
+/// Factor by which the mean of stated sizes may be under that of answers: the margin that [`USABLE_OVERLOAD`] leaves.
+pub(super) const MAX_UNDERSTATEMENT: f64 = 1.0 / USABLE_OVERLOAD;
+/// Factor by which the mean of stated sizes may be over that of answers, which are smaller where large requests are
+/// rejected first.
+pub(super) const MAX_OVERSTATEMENT: f64 = 2.0;
+/// How long the sizes that clients state for a class are doubted after one was found wrong.
+pub(super) const SIZE_DOUBT: Span = Span::from_ms(10_000);
 
 // Measurements of sources and hosts.
 
--- a/src/decision/dispatch.rs
+++ b/src/decision/dispatch.rs
@@ -1,6 +1,6 @@
 //! Sending attempts: when a request gets one, with which options, and how it is recorded.
 
-use crate::{Attempt, AttemptIndex, RequestId, Role, Span};
+use crate::{Attempt, AttemptIndex, RequestId, Span};
 
 use super::DecisionEngine;
 use super::constants::{
@@ -71,7 +71,10 @@
         let slowdown = self.load(&self.hosts[&route.host]).max(1.0);
         let latency_ms = self.hosts[&route.source].measurements.latency;
         let latency_ms = latency_ms.unwrap_or(OVERDUE_ALLOWANCE.ms());
-        overdue_after(state.transfer_ms * slowdown + latency_ms)
+        let expected_ms = self
+            .class_of(&state.request)
+            .expected_ms(state.transfer_ms, self.now);
+        overdue_after(expected_ms * slowdown + latency_ms)
     }
 
     /// Builds the attempt that the caller is to send.
@@ -122,11 +125,7 @@
                 at: self.now,
                 request: id,
                 attempt: attempt.index,
-                cost: if host.is(Role::Cache) {
-                    class.warmup_cost(state.transfer_ms)
-                } else {
-                    state.transfer_ms
-                },
+                cost: class.warmup_cost(host.endpoint.role, state.transfer_ms),
             };
             host.add_attempt(charge, self.cache_slow_start.window);
         }
--- a/src/decision/hedging.rs
+++ b/src/decision/hedging.rs
@@ -52,7 +52,9 @@
             host.adjust_window(false);
             if attempt.without_fill() {
                 let elapsed = now.since(attempt.sent).ms();
-                host.record_slowdown(now, elapsed / state.transfer_ms.max(1.0));
+                let class = &self.classes[state.request.class.0];
+                let expected_ms = class.expected_ms(state.transfer_ms, now);
+                host.record_slowdown(now, elapsed / expected_ms.max(1.0));
             }
         }
         let proof = if self.terms.may_duplicate {
--- a/src/decision/measurements.rs
+++ b/src/decision/measurements.rs
@@ -1,7 +1,7 @@
 //! Measures the latency and bandwidth of each source of fills, and whether the origin beats a parent (Tuxedo paper,
 //! section 3.2, table 1).
 
-use crate::{AttemptOutcome, FillOutcome, HostId, Request, Role, SourceMeasurements};
+use crate::{FillOutcome, HostId, Request, Role, SourceMeasurements};
 
 use super::DecisionEngine;
 use super::class_statistics::ClassStatistics;
@@ -88,7 +88,10 @@
         let transfer_ms = completed.ended.took.saturating_sub(waited).ms().max(1.0);
         let samples = SourceMeasurements {
             latency: own.then_some(waited.ms()),
-            bandwidth: completed.large_kb.map(|kb| kb / transfer_ms),
+            bandwidth: completed
+                .large_kb
+                .filter(|_| !completed.ended.unchanged)
+                .map(|kb| kb / transfer_ms),
         };
         source.latest_samples = samples;
         source.own_measured_at = Some(self.now);
@@ -129,7 +132,7 @@
     /// the source for a fill, or of the origin if the source fetched the object there.
     pub(super) fn record_slowdowns(&mut self, completed: &CompletedAttempt) {
         let ended = &completed.ended;
-        if !completed.through_cache || ended.outcome != AttemptOutcome::Answered {
+        if !completed.through_cache || !completed.shows_transfer() {
             return;
         }
         let filled_by = match ended.fill {
@@ -146,7 +149,7 @@
             cache.record_slowdown(self.now, ended.took.ms() / expected_ms);
             let uncrowded = cache.in_flight <= cache.endpoint.weight;
             if uncrowded && !completed.size_known {
-                self.classes[completed.class.0].record_sample(ended.took.ms());
+                self.classes[completed.class.0].record_unstated(ended.took.ms());
             }
         }
         let source = filled_by.and_then(|id| self.hosts.get_mut(&id));
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -124,7 +124,10 @@
             now,
             started_at: now,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            classes: classes.into_iter().map(ClassStatistics::new).collect(),
+            classes: classes
+                .into_iter()
+                .map(|class| ClassStatistics::new(class, terms.sizes_are_claims))
+                .collect(),
             zone_dispatchers,
             link: None,
             cache_slow_start: SlowStart::of_caches(&terms, zone_dispatchers),
@@ -215,23 +218,25 @@
         self.wake(now)
     }
 
-    /// Returns the expected transfer time of a request's answer at full speed, in ms, by its size or its class's mean.
-    /// Also adds the request to the means.
+    /// Returns the expected transfer time of a request's answer at full speed, in ms, by its stated size or its class's
+    /// mean. Also adds the request to the means.
     fn estimate_transfer_ms(&mut self, request: &Request) -> f64 {
+        let by_size = self.transfer_ms_of(request.size_kb);
         let class = &mut self.classes[request.class.0];
-        let kb_per_ms = self.terms.client_kb_per_s / 1000.0;
-        let by_size = match request.size_kb {
-            Some(kb) if kb_per_ms > 0.0 => Some(kb / kb_per_ms),
-            _ => None,
-        };
         if let Some(transfer_ms) = by_size {
-            class.record_sample(transfer_ms);
+            class.record_requested(transfer_ms);
         }
-        let transfer_ms = by_size.unwrap_or(class.mean_transfer_ms);
-        self.mean_transfer_ms += (transfer_ms - self.mean_transfer_ms) / class.samples.max(1.0);
+        let transfer_ms = by_size.unwrap_or(class.mean_transfer_ms());
+        self.mean_transfer_ms += (transfer_ms - self.mean_transfer_ms) / class.samples().max(1.0);
         transfer_ms
     }
 
+    /// Returns the transfer time at full speed of that many KB, in ms; none if the size or the speed is not known.
+    fn transfer_ms_of(&self, size_kb: Option<f64>) -> Option<f64> {
+        let kb_per_ms = self.terms.client_kb_per_s / 1000.0;
+        size_kb.filter(|_| kb_per_ms > 0.0).map(|kb| kb / kb_per_ms)
+    }
+
     fn class_of(&self, request: &Request) -> &ClassStatistics {
         &self.classes[request.class.0]
     }
--- a/src/decision/route_selection.rs
+++ b/src/decision/route_selection.rs
@@ -48,7 +48,7 @@
     pub(super) fn select_route(&self, state: &RequestState) -> Option<Route> {
         let class = self.class_of(&state.request);
         let goes_through = class.terms.goes_through;
-        let link_open = goes_through || self.link_admits(state, class.mean_transfer_ms);
+        let link_open = goes_through || self.link_admits(state, class.mean_transfer_ms());
         let cache = if goes_through && self.terms.direct {
             None
         } else {
@@ -96,7 +96,7 @@
         if !self.terms.direct {
             return false;
         }
-        let small = state.transfer_ms < class.mean_transfer_ms;
+        let small = state.transfer_ms < class.mean_transfer_ms();
         class.terms.goes_through
             || (link_open && small && self.link_is_idle())
             || !self.has_usable_cache()
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -7,7 +7,7 @@
 
 use super::DecisionEngine;
 use super::constants::{MAX_WARMUP_OVERLOAD, USABLE_OVERLOAD};
-use super::state::{Host, WarmupCharge};
+use super::state::{Host, WarmupCharge, WarmupCost};
 
 /// The slowest rise of a cold host's capacity, how far it may be overloaded, and this dispatcher's equal share.
 pub(super) struct SlowStart {
@@ -80,6 +80,22 @@
         charge.at = now;
         true
     }
+
+    /// Charges an attempt for the size that its answer has shown.
+    pub(super) fn settle_charge(&mut self, request: RequestId, attempt: AttemptIndex, ms: f64) {
+        let mut charges = self.warmup_charges.iter_mut();
+        if let Some(charge) = charges.find(|charge| charge.is_of(request, attempt)) {
+            charge.cost = WarmupCost::verified(ms);
+        }
+    }
+
+    /// Returns the charges of a window.
+    fn charges_since(&self, since: Time) -> impl Iterator<Item = WarmupCost> {
+        let charges = self.warmup_charges.iter();
+        charges
+            .filter(move |charge| charge.at > since)
+            .map(|charge| charge.cost)
+    }
 }
 
 impl DecisionEngine {
@@ -99,39 +115,61 @@
 
     /// Returns the work in ms that this dispatcher has sent to a host within the last window.
     pub(super) fn charged_over_window(&self, host: &Host, now: Time) -> f64 {
-        let since = now - self.slow_start(host).window;
-        host.warmup_charges
-            .iter()
-            .filter(|charge| charge.at > since)
-            .map(|charge| charge.cost)
-            .sum::<f64>()
+        host.charges_since(now - self.slow_start(host).window)
+            .map(|cost| cost.stated)
+            .sum()
     }
 
-    /// Decides whether a host may be sent work of a cost in ms; a warm host always may.
+    /// Decides whether a host may be sent work of a cost; a warm host always may.
     ///
     /// Guards against a cold host being overloaded by all dispatchers together: each keeps to its quota of the work
     /// that the slowest rise allows within any window. A cache is charged the class's mean for an attempt without a
     /// fill, too.
-    pub(super) fn fits_slow_start(&self, host: &Host, cost: f64) -> bool {
+    pub(super) fn fits_slow_start(&self, host: &Host, cost: WarmupCost) -> bool {
         let fraction = self.capacity_over_window(host, self.now);
         if fraction >= 1.0 || host.is(Role::Origin) {
             return true;
         }
         let slow_start = self.slow_start(host);
         let quota = match host.warmup_quota {
-            Some(quota) => quota * slow_start.total,
-            None => slow_start.equal_share * self.unhinted_fraction,
+            Some(quota) => quota,
+            None => slow_start.equal_share / slow_start.total * self.unhinted_fraction,
         };
-        let budget = quota * fraction * host.endpoint.weight * slow_start.window.ms();
-        self.charged_over_window(host, self.now) + cost <= budget
+        let capacity_ms = fraction * host.endpoint.weight * slow_start.window.ms();
+        let costs = host.charges_since(self.now - slow_start.window);
+        let work = expected_work(costs.chain([cost]), quota);
+        work <= quota * slow_start.total * capacity_ms
     }
 
     /// Records work that belongs at a cold host but does not fit its quota, to be reported to peers.
-    pub(super) fn note_unmet_demand(&self, preferred: Option<&&Host>, cost: f64) {
+    pub(super) fn note_unmet_demand(&self, preferred: Option<&&Host>, cost: WarmupCost) {
         if let Some(host) = preferred
             && !self.fits_slow_start(host, cost)
         {
-            host.unmet_demand.set(host.unmet_demand.get() + cost);
+            host.unmet_demand.set(host.unmet_demand.get() + cost.stated);
         }
     }
 }
+
+/// Returns the work in ms that costs come to at a host. Those that are not verified together count for what they would be
+/// at the mean, less what chance explains: twice the root of the number that all dispatchers send, of which this one may
+/// use its quota.
+///
+/// Guards against a cold host that gets many large requests at once because clients state sizes that are too small.
+fn expected_work(costs: impl Iterator<Item = WarmupCost>, quota: f64) -> f64 {
+    let (mut stated, mut verified, mut unverified, mut count) = (0.0, 0.0, 0.0, 0.0);
+    for cost in costs {
+        stated += cost.stated;
+        if cost.is_verified() {
+            verified += cost.stated;
+        } else {
+            unverified += cost.unverified;
+            count += 1.0;
+        }
+    }
+    if count == 0.0 {
+        return stated;
+    }
+    let chance = 2.0 * f64::sqrt(count * quota);
+    stated.max(verified + unverified * (1.0 - chance / count))
+}
--- a/src/decision/source_selection.rs
+++ b/src/decision/source_selection.rs
@@ -10,7 +10,7 @@
 use super::constants::{FULL_LOAD, MAX_ADMITTED_LOAD};
 use super::measurements::Measure;
 use super::rendezvous::move_factor;
-use super::state::{Host, RequestState};
+use super::state::{Host, RequestState, WarmupCost};
 
 /// The criteria by which a parent is in the neighbour set of a request.
 struct NeighbourSet<'a> {
@@ -47,7 +47,7 @@
     /// Selects the source that fills a miss, or the host for a request that goes past the caches.
     pub(super) fn select_source(&self, state: &RequestState) -> Option<HostId> {
         let mut parents = self.in_hash_order(Role::Parent, &state.request);
-        self.note_unmet_demand(parents.first(), state.transfer_ms);
+        self.note_unmet_demand(parents.first(), self.fill_cost(state));
         let neighbours = NeighbourSet {
             state,
             measure: Measure::for_request(self.class_of(&state.request), &state.request),
@@ -65,7 +65,12 @@
 
     /// Whether a source has not been tried for a request, and the slow start of a cold one allows it.
     fn may_fill(&self, source: &Host, state: &RequestState) -> bool {
-        !state.has_tried(source) && self.fits_slow_start(source, state.transfer_ms)
+        !state.has_tried(source) && self.fits_slow_start(source, self.fill_cost(state))
+    }
+
+    fn fill_cost(&self, state: &RequestState) -> WarmupCost {
+        self.class_of(&state.request)
+            .warmup_cost(Role::Parent, state.transfer_ms)
     }
 
     /// Returns the least slowdown of the usable parents, [`MAX_ADMITTED_LOAD`] at most.
--- a/src/decision/state.rs
+++ b/src/decision/state.rs
@@ -74,8 +74,33 @@
     pub(super) at: Time,
     pub(super) request: RequestId,
     pub(super) attempt: AttemptIndex,
-    /// Milliseconds of work.
-    pub(super) cost: f64,
+    pub(super) cost: WarmupCost,
+}
+
+/// The cost of a request to a cold host, in ms of work.
+#[derive(Clone, Copy)]
+pub(super) struct WarmupCost {
+    /// By the size that the client has stated, or that the answer had.
+    pub(super) stated: f64,
+    /// What it may turn out to be; equal to `stated` once the answer has shown the size.
+    pub(super) unverified: f64,
+}
+
+impl WarmupCost {
+    /// Nothing, or nothing more than is charged already.
+    pub(super) const NONE: WarmupCost = WarmupCost::verified(0.0);
+
+    /// Returns a cost that does not rest on a client's word.
+    pub(super) const fn verified(ms: f64) -> WarmupCost {
+        WarmupCost {
+            stated: ms,
+            unverified: ms,
+        }
+    }
+
+    pub(super) fn is_verified(self) -> bool {
+        self.unverified <= self.stated
+    }
 }
 
 impl WarmupCharge {
@@ -85,7 +110,7 @@
             at,
             request: RequestId(u64::MAX),
             attempt: AttemptIndex(0),
-            cost: f64::INFINITY,
+            cost: WarmupCost::verified(f64::INFINITY),
         }
     }
 
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -45,6 +45,8 @@
     pub joins: bool,
     /// The speed of an answer to a client, in KB per second; 0 if transfer times can't be derived from sizes.
     pub client_kb_per_s: f64,
+    /// Whether sizes are what clients state, which may be wrong; otherwise the platform vouches for them.
+    pub sizes_are_claims: bool,
     /// Time after which a purge has reached all copies.
     pub purge_settles: Span,
     /// Whether load reports contain the load of the location's link.
--- a/src/request.rs
+++ b/src/request.rs
@@ -62,7 +62,7 @@
     pub part: u64,
     /// The group that the object is purged with.
     pub group: GroupId,
-    /// The size of the answer in KB, if known.
+    /// The size of the answer in KB, if the client states it. It is a claim until an answer was measured.
     pub size_kb: Option<f64>,
     /// When the client stops waiting for this request.
     pub deadline: Time,
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -30,6 +30,10 @@
     pub(crate) utilization_of_a: Option<f64>,
     /// Milliseconds that an answer takes by default.
     pub(crate) answer_ms: u64,
+    /// The size of answers in KB, where it contradicts the stated one.
+    pub(crate) actual_kb: Option<f64>,
+    /// Whether answers are that the client's copy is current.
+    pub(crate) unchanged: bool,
     /// The id of the latest request.
     latest_id: u64,
 }
@@ -94,6 +98,7 @@
         joins: true,
         client_kb_per_s: 1000.0,
         purge_settles: Span::from_ms(6000),
+        sizes_are_claims: false,
         reports_link_load: true,
         may_poll_load: false,
     }
@@ -144,6 +149,8 @@
             in_flight_elsewhere: 0.0,
             utilization_of_a: None,
             answer_ms: 110,
+            actual_kb: None,
+            unchanged: false,
             latest_id: 0,
         };
         fake.list(hosts);
@@ -308,6 +315,8 @@
             closed: outcome == AttemptOutcome::Answered,
             fill,
             waited: Some(waited),
+            actual_kb: self.actual_kb,
+            unchanged: self.unchanged,
             report: LoadReport {
                 link,
                 in_flight: Some(if is_a {
--- a/tests/guided.rs
+++ b/tests/guided.rs
@@ -96,6 +96,8 @@
         closed: false,
         fill,
         waited: Some(Span::of_ms(waited)),
+        actual_kb: None,
+        unchanged: false,
         report: LoadReport::default(),
     }
 }
--- a/tests/polled.rs
+++ b/tests/polled.rs
@@ -51,6 +51,8 @@
             closed: true,
             fill: FillOutcome::Hit,
             waited: None,
+            actual_kb: None,
+            unchanged: false,
             report: LoadReport::default(),
         };
         engine.report(
--- a/tests/same.rs
+++ b/tests/same.rs
@@ -149,6 +149,8 @@
             closed: false,
             fill: end.fill,
             waited: (end.fill == FillOutcome::Filled).then(|| Span::of_ms(waited)),
+            actual_kb: None,
+            unchanged: false,
             report,
         };
         self.last_id += 1;
