Stop relying on the list and on copies once the coordinator's news is too old

Callers saw: a host that began to drain while the coordinator was away got 18 to 20 requests later than 7 s and the grace, for as long as the outage lasted. Cause: nothing in a dispatcher without planners looked at the age of its news; list_trusted is set by planners' hints only. Beside it: a coordinator that accepts connections and says nothing counted as heard, and a forwarder with one planner and events by digest waited half a second for another planner before it asked the coordinator, past the grace for purges. Change: Watch notes when all events were last known (LastHeard), by frames only. DecisionEngine::news_known: from 7 s and the grace for drains after it nothing new is sent and requests are rejected at once with a retry-after; from 7 s and the grace for purges after it copies are limited to that age. A longer `blind` of the plan counts as that limit. With one planner the margin for another one is left out once it has delivered; the test that pinned it for one planner asks for the earlier time now, and a new one for 0.4 s with batches of 100 ms.

--- a/crates/flaxdeck-channel/src/watch/mod.rs
+++ b/crates/flaxdeck-channel/src/watch/mod.rs
@@ -2,6 +2,7 @@
 //! do when is decided in [`protocol`].
 
 mod expedited_reconnect;
+mod last_heard;
 pub mod protocol;
 
 use std::cell::RefCell;
@@ -25,6 +26,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 pub use expedited_reconnect::ExpeditedReconnect;
+pub use last_heard::LastHeard;
 pub use protocol::WatchEvent;
 use protocol::{Action, Disconnect, WatchProtocol};
 
@@ -47,6 +49,7 @@
     protocol: WatchProtocol,
     link: Option<Link>,
     expedited_reconnect: Rc<ExpeditedReconnect>,
+    last_heard: Rc<LastHeard>,
     /// The first connection is delayed, as planners may relay the same events sooner.
     delays_first_connection: bool,
     /// Planners relay all events: no connection is open, and none is opened.
@@ -90,6 +93,7 @@
             protocol: WatchProtocol::new(numbering, seed, clock.now()),
             link: None,
             expedited_reconnect: Rc::default(),
+            last_heard: Rc::new(LastHeard::now()),
             delays_first_connection: false,
             is_paused: false,
         };
@@ -108,6 +112,11 @@
         self.expedited_reconnect.clone()
     }
 
+    /// Returns the shared time at which all events of the coordinator were last known.
+    pub fn last_heard(&self) -> Rc<LastHeard> {
+        self.last_heard.clone()
+    }
+
     /// Closes the connection while planners relay all events, or lets it be opened again. Planners may lag behind, so
     /// if the coordinator turns out to use another numbering afterwards, events of the previous one may have been
     /// missed.
@@ -173,6 +182,9 @@
                 Action::Continue => {}
                 Action::Emit(event) => {
                     count_event(&event);
+                    if matches!(event, WatchEvent::Heartbeat) {
+                        self.note_current();
+                    }
                     return event;
                 }
                 Action::Reconnect(reason) => self.reconnect(reason).await,
@@ -213,11 +225,25 @@
         let now = self.clock.now();
         match read {
             Ok(Ok(true)) => self.protocol.bytes_read(now, begins_frame),
-            Ok(Ok(false) | Err(_)) => self.protocol.disconnect(Disconnect::Ended),
+            Ok(Ok(false)) => {
+                if begins_frame && self.protocol.is_live(now) {
+                    self.last_heard.heard_at(self.clock.instant(now));
+                }
+                self.protocol.disconnect(Disconnect::Ended)
+            }
+            Ok(Err(_)) => self.protocol.disconnect(Disconnect::Ended),
             Err(_) => self.protocol.timed_out(now, limit.timeout),
         }
     }
 
+    /// Notes that all events are known that the coordinator had when it sent its last frame. A connection on which it
+    /// has sent none confirms nothing: the system also accepts connections for a process that hangs.
+    fn note_current(&self) {
+        if let Some(at) = self.protocol.last_frame_at() {
+            self.last_heard.heard_at(self.clock.instant(at));
+        }
+    }
+
     async fn reconnect(&mut self, reason: Disconnect) {
         self.link = None;
         if matches!(reason, Disconnect::DoesNotFollow { .. }) {
--- a/crates/flaxdeck-channel/src/watch/protocol.rs
+++ b/crates/flaxdeck-channel/src/watch/protocol.rs
@@ -20,6 +20,10 @@
 /// missing. An event counts as announced after 4 s even if the coordinator has stopped, and the rest of that time is
 /// needed to reconnect.
 const SILENCE_TIMEOUT: Span = Span::from_ms(2200);
+/// The interval at which the coordinator sends heartbeats.
+const HEARTBEAT_INTERVAL: Span = Span::from_ms(1000);
+/// How late a heartbeat may be on a busy machine.
+const HEARTBEAT_DELAY: Span = Span::from_ms(100);
 /// Shortest pause between two connections. It is short because events count as announced while no connection is open.
 const MIN_BACKOFF: Span = Span::from_ms(100);
 /// Longest pause between two connections: the watch is connected within 1 s after the coordinator is reachable again.
@@ -136,6 +140,8 @@
     backoff: ReconnectBackoff,
     /// When the connection was opened, the last complete frame was received, or the first bytes of a frame were.
     last_received_at: Time,
+    /// When the last complete frame of the present connection was received; none if it has brought none.
+    last_frame_at: Option<Time>,
     /// All events have been received that the coordinator had when the connection was opened.
     is_current: bool,
     /// Detects that also where events arrive without a pause.
@@ -150,6 +156,7 @@
             numbering: Rc::new(RefCell::new(numbering)),
             backoff: ReconnectBackoff::new(seed, MIN_BACKOFF, MAX_BACKOFF),
             last_received_at: now,
+            last_frame_at: None,
             is_current: false,
             live_edge: LiveEdge::default(),
         }
@@ -165,6 +172,17 @@
         self.is_current
     }
 
+    /// Returns whether the connection brings events as they happen: the watch is current, and no heartbeat is missing.
+    pub fn is_live(&self, now: Time) -> bool {
+        let is_recent = |at| now.since(at) < HEARTBEAT_INTERVAL + HEARTBEAT_DELAY;
+        self.is_current && self.last_frame_at.is_some_and(is_recent)
+    }
+
+    /// Returns when the last complete frame of the present connection was received; none if it has brought none.
+    pub fn last_frame_at(&self) -> Option<Time> {
+        self.last_frame_at
+    }
+
     /// Draws the delay of the first connection, for an instance whose planners may relay the same events sooner.
     pub fn initial_delay(&mut self) -> Span {
         self.backoff.initial_delay()
@@ -185,6 +203,7 @@
     /// Records that a connection was opened. Returns the number after which to request events.
     pub fn connected(&mut self, now: Time) -> u64 {
         self.last_received_at = now;
+        self.last_frame_at = None;
         self.is_current = false;
         self.live_edge = LiveEdge::default();
         self.numbering.borrow_mut().connection_opened(now)
@@ -207,6 +226,7 @@
     /// Handles a complete frame.
     pub fn frame(&mut self, now: Time, frame: Frame) -> Action {
         self.last_received_at = now;
+        self.last_frame_at = Some(now);
         match frame.event {
             None => self.heartbeat(now),
             Some(event) => self.event(now, frame.number, frame.bytes, event),
--- a/crates/flaxdeck-control/examples/size.rs
+++ b/crates/flaxdeck-control/examples/size.rs
@@ -201,6 +201,8 @@
         joins: false,
         client_kb_per_s: 11_000.0,
         purge_settles: Span::from_ms(2000),
+        drain_grace: Span::from_ms(1000),
+        purge_grace: Span::from_ms(500),
         sizes_are_claims: false,
         reports_link_load: true,
         may_poll_load: false,
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
@@ -109,13 +109,19 @@
         router: &Router,
         epoch: Epoch,
         seed: u64,
-        options: ControlClientOptions,
+        mut options: ControlClientOptions,
         watch: &mut Watch,
     ) -> ControlClient {
         let numbering = watch.numbering();
         let expedited_reconnect = watch.expedited_reconnect(!options.planners.is_empty());
         let now = router.clock.now();
         let count = options.planners.len();
+        // The operator's limit must not outlast the one of the platform.
+        let list_lifetime = router.engine.borrow().list_lifetime();
+        options.session.unconfirmed_limit = options
+            .session
+            .unconfirmed_limit
+            .map(|limit| limit.min(list_lifetime));
         let mut session = ForwarderSession::start(now, epoch, options.session, count as u32);
         let subscription = options.subscription.map(|subscription| {
             session.suppress_reports(subscription.report_idle_every);
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -16,6 +16,7 @@
 mod control_client;
 mod coordinator;
 mod events;
+mod news;
 mod persistence;
 mod request_table;
 mod requests;
@@ -129,6 +130,10 @@
 
     /// Starts the tasks that follow the coordinator and give the decision engine its ticks. To be called once.
     pub(crate) fn start_tasks(self: &Rc<Router>, watch: Watch) {
+        if !self.is_guided() {
+            self.tasks
+                .spawn(self.clone().follow_last_heard(watch.last_heard()));
+        }
         self.tasks.spawn(self.clone().follow_coordinator(watch));
         self.tasks.spawn(self.clone().drive_ticks());
     }
--- a/crates/flaxdeck-distribution/src/subscriber.rs
+++ b/crates/flaxdeck-distribution/src/subscriber.rs
@@ -146,7 +146,7 @@
             candidate: None,
             silent_failovers: 0,
             behind_since: None,
-            coordinator_need: CoordinatorNeed::new(now, cadence, preference),
+            coordinator_need: CoordinatorNeed::new(now, cadence, preference, planners),
             confirmed_at: None,
             counters: Counters::default(),
         }
--- a/crates/flaxdeck-distribution/src/subscriber/coordinator_need.rs
+++ b/crates/flaxdeck-distribution/src/subscriber/coordinator_need.rs
@@ -6,7 +6,7 @@
 use crate::cadence::Cadence;
 
 /// Added to the silence timeout, after which the forwarder switches planners: if nothing was delivered by then, no
-/// planner delivers.
+/// planner delivers. Without another planner to switch to there is nothing to wait for.
 const NO_DELIVERY_MARGIN: Span = Span::from_ms(500);
 /// The minimum wait without any connection, which leaves time for a planner to be connected again at once.
 const MIN_DISCONNECTED_WAIT: Span = Span::from_ms(100);
@@ -31,6 +31,8 @@
 pub(super) struct CoordinatorNeed {
     cadence: Cadence,
     started: Time,
+    /// The margin once a planner has delivered.
+    no_delivery_margin: Span,
     /// How long this forwarder waits without any connection before it needs the coordinator.
     disconnected_wait: Span,
     delivery_period: Option<DeliveryPeriod>,
@@ -39,13 +41,23 @@
 }
 
 impl CoordinatorNeed {
-    /// Creates the tracker of a forwarder that has just started. `preference` differs between forwarders and determines
+    /// Creates the tracker of a forwarder that has just started with that many planners. `preference` differs between forwarders and determines
     /// the jitter.
-    pub(super) fn new(now: Time, cadence: Cadence, preference: u64) -> CoordinatorNeed {
+    pub(super) fn new(
+        now: Time,
+        cadence: Cadence,
+        preference: u64,
+        planners: u32,
+    ) -> CoordinatorNeed {
         let jitter_fraction = mix(preference) as f64 / u64::MAX as f64;
         CoordinatorNeed {
             cadence,
             started: now,
+            no_delivery_margin: if planners > 1 {
+                NO_DELIVERY_MARGIN
+            } else {
+                Span::ZERO
+            },
             disconnected_wait: MIN_DISCONNECTED_WAIT + MAX_WAIT_JITTER * jitter_fraction,
             delivery_period: None,
             disconnected_since: None,
@@ -104,10 +116,11 @@
     }
 
     fn silence_deadline(&self) -> Time {
-        let last = self
-            .delivery_period
-            .map_or(self.started, |delivery_period| delivery_period.last);
-        last + self.cadence.silence_timeout() + NO_DELIVERY_MARGIN
+        let timeout = self.cadence.silence_timeout();
+        match self.delivery_period {
+            Some(delivery_period) => delivery_period.last + timeout + self.no_delivery_margin,
+            None => self.started + timeout + NO_DELIVERY_MARGIN,
+        }
     }
 
     fn disconnected_deadline(&self) -> Option<Time> {
--- a/crates/flaxdeck-distribution/tests/subscriber/coordinator.rs
+++ b/crates/flaxdeck-distribution/tests/subscriber/coordinator.rs
@@ -1,5 +1,6 @@
 //! When events have to be received from the coordinator itself, and the time for which the state is confirmed.
 
+use flaxdeck::Span;
 use flaxdeck_distribution::messages::Delivery;
 use flaxdeck_distribution::{Cadence, Subscriber};
 
@@ -27,8 +28,31 @@
             .unwrap();
         assert_eq!(subscriber.needs_coordinator(at(ms)), ms < 4_300, "at {ms}");
     }
-    assert!(!subscriber.needs_coordinator(at(10_700)));
-    assert!(subscriber.needs_coordinator(at(10_800)));
+    // The last delivery was at 8,800 ms. There is no other planner to wait for.
+    assert!(!subscriber.needs_coordinator(at(10_200)));
+    assert!(subscriber.needs_coordinator(at(10_300)));
+}
+
+// Guards against purges that come late because a forwarder waits for another planner where there is none: the
+// coordinator is needed within the grace for purges, 500 ms, after the last batch of a planner that falls silent.
+#[test]
+fn without_another_planner_the_coordinator_is_needed_within_the_grace_for_purges() {
+    let cadence = Cadence::with_batch_interval(Span::from_ms(100));
+    let mut subscriber = Subscriber::start(at(0), 1, 0, cadence, SETTLE_TIME);
+    subscriber.set_position(at(0), position(10));
+    subscriber.connected(at(0), FIRST);
+    subscriber.actions(at(0));
+    for (position, ms) in (10..).zip((100..=3_000).step_by(100)) {
+        let batch = batch_delivery(purge_batch(position, position + 1));
+        subscriber.receive(at(ms), FIRST, batch).unwrap();
+        assert!(!subscriber.needs_coordinator(at(ms)));
+    }
+    let needed = (3_000..5_000).find(|ms| subscriber.needs_coordinator(at(*ms)));
+    assert_eq!(
+        needed,
+        Some(3_400),
+        "100 ms are left to be told by the coordinator"
+    );
 }
 
 /// Returns when a subscriber with this preference first needs the coordinator, after both its planners disconnected at
--- a/crates/flaxdeck-fleet/src/model/deployment.rs
+++ b/crates/flaxdeck-fleet/src/model/deployment.rs
@@ -50,6 +50,8 @@
         joins: false,
         client_kb_per_s: scenario.slot_kb_per_ms * 1000.0,
         purge_settles: Span::from_ms(6_000),
+        drain_grace: Span::from_ms(1000),
+        purge_grace: Span::from_ms(500),
         sizes_are_claims: false,
         reports_link_load: true,
         may_poll_load: false,
--- a/crates/flaxdeck-net/src/metrics.rs
+++ b/crates/flaxdeck-net/src/metrics.rs
@@ -96,6 +96,8 @@
     feed_gaps,
     /// Full lists that replaced the known state as the coordinator had started another numbering.
     feed_anew,
+    /// Times that the endpoint list expired, as the coordinator was not heard for too long.
+    list_expired,
     /// Hosts withheld from the endpoint list as an earlier numbering had withdrawn them.
     hosts_doubted,
     /// Updates of the measured offset between the local clock and the coordinator's.
--- a/crates/flaxdeck-scale/examples/decisions.rs
+++ b/crates/flaxdeck-scale/examples/decisions.rs
@@ -228,6 +228,8 @@
         joins: false,
         client_kb_per_s: 11_000.0,
         purge_settles: Span::of_ms(settles_ms),
+        drain_grace: Span::from_ms(1000),
+        purge_grace: Span::from_ms(500),
         sizes_are_claims: true,
         reports_link_load: true,
         may_poll_load: false,
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -175,6 +175,8 @@
         joins: family.flag_or_false("collapses")?,
         client_kb_per_s: family.number_or("client_kb_per_s", 0.0)?,
         purge_settles: family.span_or_zero("purge_settles_ms")?,
+        drain_grace: rules.span_or_zero("stop_sending_within_ms")?,
+        purge_grace: family.span_or_zero("purge_grace_ms")?,
         sizes_are_claims: false,
         reports_link_load: index_of(&reports.fields, LINK).is_some(),
         may_poll_load: reports.by_health_check,
--- a/src/decision/clearance.rs
+++ b/src/decision/clearance.rs
@@ -18,7 +18,7 @@
     ) -> Option<Clearance> {
         self.now = now;
         let state = self.requests.get(&id)?;
-        if state.done || !self.list_trusted {
+        if state.done || !self.list_is_valid() {
             return None;
         }
         let attempt = state
--- a/src/decision/freshness.rs
+++ b/src/decision/freshness.rs
@@ -36,6 +36,7 @@
                 let age = self.now.since(purge.made);
                 age.saturating_sub(AGE_ROUNDING).max(AGE_ROUNDING)
             })
+            .chain(self.unknown_purge_limit())
             .min();
         let fresh = class.terms.fresh;
         let grace = if without_fill {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,7 +1,7 @@
 //! The decision engine: all routing decisions of one dispatcher.
 //!
 //! A caller creates a [`DecisionEngine`] with `start` and reports each event by a call: `list`, `request`,
-//! `attempt_ended`, `purge`, `apply_peer_hints`, `load_polled`, `wake`, `client_left`, `shut_down_at`. Each call
+//! `attempt_ended`, `purge`, `news_known`, `apply_peer_hints`, `load_polled`, `wake`, `client_left`, `shut_down_at`. Each call
 //! returns [`Decisions`], which the caller applies in the order of the fields: cancels, attempts, final answers, load
 //! polls, next wake. The answer to an attempt is its request's final answer, so the engine returns none for it. The
 //! reasons behind the decisions are in `docs/design.md`.
@@ -19,6 +19,7 @@
 //! | `retries`, `hedging` | whether a request may be sent again, or in parallel to a silent attempt |
 //! | `answers` | when a request is given up, and with which answer |
 //! | `freshness` | how old a copy may be |
+//! | `news` | how long list and purges are relied on while the coordinator is not heard |
 //! | `clearance` | whether an attempt may still be sent once its connection is established |
 //! | `completion`, `peers`, `load_polls` | what ended attempts, hints of peers and load polls change |
 //!
@@ -48,6 +49,7 @@
 mod load;
 mod load_polls;
 mod measurements;
+mod news;
 mod outliers;
 mod peers;
 mod rendezvous;
@@ -85,6 +87,8 @@
     terms: DeploymentTerms,
     /// Whether the endpoint list can be trusted; if not, no new attempt is made.
     list_trusted: bool,
+    /// The latest time at which all of the coordinator's events were known; `None` if the caller never tells.
+    news_known_at: Option<Time>,
     /// The fraction of its equal share that this dispatcher may use of a cold host without a quota from peers, 0 to 1.
     unhinted_fraction: f64,
     /// Mean transfer time of the requests of all classes, in ms.
@@ -138,6 +142,7 @@
                 .may_set_retry_after
                 .then(|| RETRY_AFTER.min(terms.max_retry_after)),
             list_trusted: true,
+            news_known_at: None,
             unhinted_fraction: 1.0,
             mean_transfer_ms: 0.0,
             next_load_poll: if terms.may_poll_load {
--- a/src/decision/retries.rs
+++ b/src/decision/retries.rs
@@ -15,7 +15,7 @@
     /// Guards against an effect that happens twice: a request that may have run is sent again only if it is idempotent,
     /// or while the hosts that deduplicate it still remember the first run.
     pub(super) fn may_retry(&self, state: &RequestState) -> bool {
-        self.list_trusted
+        self.list_is_valid()
             && state.attempts < self.terms.most_attempts.max(1)
             && self.repeat_is_safe(state)
     }
--- a/src/polled.rs
+++ b/src/polled.rs
@@ -35,6 +35,11 @@
     ClientLeft(RequestId),
     /// Hints of other dispatchers have arrived.
     PeerHints(PeerHints),
+    /// All events are known that the coordinator had at the given time.
+    NewsKnown {
+        /// That time.
+        at: Time,
+    },
     /// The process ends at the given time.
     ShutdownAt(Time),
 }
@@ -105,6 +110,7 @@
                 self.engine.attempt_ended(now, ended)
             }
             Input::PeerHints(hints) => self.engine.apply_peer_hints(now, hints),
+            Input::NewsKnown { at } => self.engine.news_known(now, at),
             Input::ShutdownAt(ends) => self.engine.shut_down_at(now, ends),
             Input::ClientLeft(request) => {
                 self.finish(request);
@@ -151,6 +157,16 @@
         self.engine.retry_after
     }
 
+    /// Returns the time from which no new attempt is made unless the coordinator is heard before.
+    pub fn list_valid_until(&self) -> Time {
+        self.engine.list_valid_until()
+    }
+
+    /// Returns how long the endpoint list may be relied on after the coordinator was heard.
+    pub fn list_lifetime(&self) -> Span {
+        self.engine.list_lifetime()
+    }
+
     /// Returns when `tick` is to be called next.
     pub fn due(&self) -> Option<Time> {
         self.wakes.first().copied()
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -98,6 +98,8 @@
         joins: true,
         client_kb_per_s: 1000.0,
         purge_settles: Span::from_ms(6000),
+        drain_grace: Span::from_ms(1000),
+        purge_grace: Span::from_ms(500),
         sizes_are_claims: false,
         reports_link_load: true,
         may_poll_load: false,
