Count an orderly end of the coordinator's connection as heard, also right after its event

Change: an end at the boundary of a frame confirms what the coordinator had when it sent its last frame. Result, played on loopback: the new test of a short visit, that test, and those of coordinator_events pass.

--- a/crates/flaxdeck-channel/src/watch/mod.rs
+++ b/crates/flaxdeck-channel/src/watch/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxdeck::Span;
+use flaxdeck::{Span, Time};
 use flaxdeck_net::clock::Clock;
 use flaxdeck_net::link::{Inbound, Outbound};
 use flaxdeck_net::metrics::{Counter, count, count_message};
@@ -226,8 +226,8 @@
         match read {
             Ok(Ok(true)) => self.protocol.bytes_read(now, begins_frame),
             Ok(Ok(false)) => {
-                if begins_frame && self.protocol.is_live(now) {
-                    self.last_heard.heard_at(self.clock.instant(now));
+                if begins_frame {
+                    self.note_orderly_end(now);
                 }
                 self.protocol.disconnect(Disconnect::Ended)
             }
@@ -244,6 +244,16 @@
         }
     }
 
+    /// Notes what the end of a connection at the boundary of a frame confirms: all events so far if they came as they
+    /// happened, else those that the coordinator had when it sent its last frame.
+    fn note_orderly_end(&self, now: Time) {
+        if self.protocol.is_live(now) {
+            self.last_heard.heard_at(self.clock.instant(now));
+        } else {
+            self.note_current();
+        }
+    }
+
     async fn reconnect(&mut self, reason: Disconnect) {
         self.link = None;
         if matches!(reason, Disconnect::DoesNotFollow { .. }) {
--- a/crates/flaxdeck-dispatcher/tests/coordinator_outages.rs
+++ b/crates/flaxdeck-dispatcher/tests/coordinator_outages.rs
@@ -99,3 +99,25 @@
     );
     reject_all(&world);
 }
+
+// Guards against an outage that counts from before a short visit of the coordinator, in which it told all that it had.
+#[test]
+fn a_coordinator_that_comes_back_for_a_moment_was_heard() {
+    let mut world = World::start(2);
+    thread::sleep(Duration::from_millis(1200));
+    let address = world.coordinator.address.to_string();
+    let gone = Coordinator::start("127.0.0.1:0", 1).unwrap();
+    std::mem::replace(&mut world.coordinator, gone).end();
+    let start = Instant::now();
+    thread::sleep(Duration::from_millis(5000));
+    let mut visit = Coordinator::start(&address, 1).unwrap();
+    visit.change(&world.caches[0], 1, 0, 0);
+    world.wait_for_log(&["told: ", &world.caches[0].id, "Draining"]);
+    visit.end();
+    thread::sleep((TOLD_AFTER + DRAIN_GRACE).saturating_sub(start.elapsed()));
+    serve_until(
+        &world,
+        start,
+        TOLD_AFTER + DRAIN_GRACE + Duration::from_millis(2000),
+    );
+}
