Write a cancellation before the next host gets the request

Cause: PendingAttempt::drop started a task that wrote never_mind, behind the task of the next attempt, which is queued before it. Change: drop writes it, the task only waits for the host's confirmation.

--- a/crates/flaxdeck-dispatcher/src/protocol/attempt.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/attempt.rs
@@ -97,16 +97,13 @@
         self.connect(host, cleared.sent_by).await
     }
 
-    /// Cancels a request. Its response may already be on the way, so the connection is kept only once the host has
-    /// confirmed that none will follow.
-    async fn cancel(
+    /// Waits for the confirmation of a cancellation. The response may already be on the way, so the connection is kept
+    /// only once the host has confirmed that none will follow.
+    async fn confirm_cancellation(
         self: Rc<HostConnections>,
         host: HostId,
-        id: Bytes,
         mut connection: HostConnection,
     ) {
-        let cancel = lines::encode_cancel(&id);
-        connection.outbound.send([cancel], [None, None]);
         let confirmed = async {
             connection.outbound.flush().await.ok()?;
             let reader = self.response_reader();
@@ -222,8 +219,11 @@
             return;
         }
         if self.written {
-            let (host, id) = (self.host.clone(), self.id.clone());
-            spawn_local(self.connections.clone().cancel(host, id, connection));
+            // Written at once, so that no other host gets the request before this one is told.
+            let cancellation = lines::encode_cancel(self.id);
+            connection.outbound.send([cancellation], [None, None]);
+            let connections = self.connections.clone();
+            spawn_local(connections.confirm_cancellation(self.host.clone(), connection));
         } else if !connection.outbound.has_pending() && !connection.outbound.is_closed() {
             self.connections.keep_idle(self.host, connection);
         }
