Name the staleness of events by the field's words, and shorten what had grown

No behaviour changes.

- `news` is `staleness`, `news_known` is `events_confirmed`, MAX_NEWS_DELAY is MAX_EVENT_DELAY, with module, input and test.
- How an answer's size compares with the stated one is an enum (`AnswerSize`) in place of three flags.

--- a/crates/flaxdeck-dispatcher/src/control.rs
+++ b/crates/flaxdeck-dispatcher/src/control.rs
@@ -113,10 +113,8 @@
         router.apply_event(position, event);
     }
     if let Some(listener) = listener {
-        router.set_listener(
-            listener,
-            Some(position).filter(|position| *position != EventPosition::NONE),
-        );
+        let known = (position != EventPosition::NONE).then_some(position);
+        router.set_listener(listener, known);
     }
     router.start_tasks(watch);
     router
--- a/crates/flaxdeck-dispatcher/src/protocol/client_connection.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/client_connection.rs
@@ -8,18 +8,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Buf;
-use flaxdeck_net::budget::{Budget, MAX_SMALL_MESSAGE, Permit};
+use flaxdeck_net::budget::{Budget, Permit};
 use flaxdeck_net::link::{self, Inbound, Outbound, Unread};
 use flaxdeck_net::metrics::{Counter, count, count_by};
 use flaxdeck_terms::Names;
-use flaxdeck_wire::rpc::{self, ClientMessage, PartialRequest};
+use flaxdeck_wire::rpc::{self, ClientMessage};
 use flaxdeck_wire::{ClientRequest, Parsed};
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::client_answers::DeferredAnswers;
 pub(crate) use super::client_answers::{DirectAnswer, Responder};
+use super::incoming_message::IncomingMessage;
 use super::message_read::{MessageRead, WaitOutcome};
 use super::open_requests::OpenRequests;
 use super::time_limit::TimeLimit;
@@ -27,17 +27,6 @@
 /// How long a client may read nothing while answers wait for it, as they hold memory that others could use. After that
 /// the answers that have not begun are replaced by failures, and the connection ends once no answer is owed on it.
 const MAX_STALL: Duration = Duration::from_secs(3);
-/// How long a message may wait for memory before it is discarded and rejected. That delays no
-/// cancellation: the end of the connection is noticed meanwhile, and the client has no other request open that a later
-/// message could cancel.
-const MAX_MEMORY_WAIT: Duration = Duration::from_millis(100);
-/// The same while other requests of the client are open. The message may be followed by a cancellation of one of
-/// them, 0.1 s after which no attempt may start any more. The rest of the 0.1 s is for reading and for a busy machine.
-const MAX_MEMORY_WAIT_WITH_OPEN_REQUESTS: Duration = Duration::from_millis(40);
-/// How long a message may take from its first byte to its last, and the first message from the start of the connection.
-/// Rejections are due within 3 s of connecting, and a connection may have waited a while to be accepted. While an answer
-/// is owed on the connection the message may take longer, but it gives up its memory if others need it.
-const MAX_MESSAGE_TIME: Duration = Duration::from_millis(2000);
 
 /// An event on a client's connection.
 pub(crate) enum ClientEvent {
@@ -71,18 +60,12 @@
     names: Rc<Names>,
     /// The memory budget of all clients' messages, in bytes.
     request_bytes: Rc<Budget>,
-    /// The permit that an incomplete message holds from that budget.
-    permit: Option<Permit>,
-    /// Since when a message is due: an incomplete one since its first byte, the first one since the connection started.
-    awaited_since: Option<Instant>,
+    message: IncomingMessage,
+    /// Whether a message was received in part.
     has_partial: Rc<Cell<bool>>,
-    /// When a message first found no memory; cleared once everything received behind that message is processed.
-    memory_wait_since: Option<Instant>,
     open: Rc<OpenRequests>,
     /// The longest time that a client waits for an answer.
     longest_wait: Duration,
-    /// The request that is being discarded, with the number of bytes that are still to be received.
-    discarded: Option<PartialRequest>,
     deferred: DeferredAnswers,
 }
 
@@ -129,13 +112,10 @@
             outbound,
             names,
             request_bytes,
-            permit: None,
-            awaited_since: Some(Instant::now()),
+            message: IncomingMessage::first(),
             has_partial: Rc::default(),
-            memory_wait_since: None,
             open: Rc::default(),
             longest_wait,
-            discarded: None,
             deferred: DeferredAnswers::default(),
         }
     }
@@ -190,7 +170,7 @@
         self.has_unparsed()
             || match self.outbound.unread() {
                 Unread::Nothing => false,
-                Unread::Bytes => self.memory_wait_since.is_some(),
+                Unread::Bytes => self.message.has_waited_for_memory(),
                 Unread::End => true,
             }
     }
@@ -239,13 +219,16 @@
 
     /// Processes the next message in the buffer, or returns how many bytes it lacks.
     fn process_buffer(&mut self) -> Parsed<ClientEvent> {
-        if let Some(request) = self.discarded {
-            return self.discard(request);
+        match self.message.discard(&mut self.inbound.bytes) {
+            Some(Parsed::Complete(call)) => {
+                return Parsed::Complete(ClientEvent::NoMemory { call });
+            }
+            Some(Parsed::Incomplete(missing)) => return Parsed::Incomplete(missing),
+            None => {}
         }
         match rpc::parse(&mut self.inbound.bytes, &self.names) {
             Ok(Parsed::Complete(message)) => {
-                self.awaited_since = None;
-                self.permit = None;
+                self.message.complete();
                 Parsed::Complete(self.process_message(message))
             }
             Ok(Parsed::Incomplete(missing)) => Parsed::Incomplete(missing),
@@ -274,68 +257,47 @@
         ClientEvent::Answered
     }
 
-    /// Drops the bytes received so far of a request for which there was no memory.
-    fn discard(&mut self, request: PartialRequest) -> Parsed<ClientEvent> {
-        let PartialRequest { call, missing } = request;
-        let received = missing.min(self.inbound.bytes.len());
-        self.inbound.bytes.advance(received);
-        let missing = missing - received;
-        if missing == 0 {
-            self.discarded = None;
-            self.awaited_since = None;
-            return Parsed::Complete(ClientEvent::NoMemory { call });
-        }
-        self.discarded = Some(PartialRequest { call, missing });
-        Parsed::Incomplete(missing.min(MAX_SMALL_MESSAGE))
-    }
-
     /// Starts to discard the message for which there is no memory. Returns false if it is not a request of which only
     /// a part of the body is missing.
     fn begin_discarding(&mut self) -> bool {
-        self.discarded = rpc::partial_request(&self.inbound.bytes);
-        if self.discarded.is_none() {
+        let is_request = self.message.begin_discarding(&mut self.inbound.bytes);
+        if !is_request {
             count(Counter::clients_malformed);
             log::debug!(
                 "closing a client connection: no memory for a message that is not a request"
             );
-            return false;
         }
-        self.inbound.bytes.clear();
-        self.permit = None;
-        true
+        is_request
     }
 
-    /// Notes whether a message was received in part; from then on [`MAX_MESSAGE_TIME`] runs for the rest of it.
+    /// Notes whether a message was received in part; from then on the time for the rest of it runs.
     fn note_partial(&mut self) {
-        let has_partial = self.has_unparsed() || self.discarded.is_some();
+        let has_partial = self.has_unparsed() || self.message.is_discarded();
         self.has_partial.set(has_partial);
         if has_partial {
-            self.awaited_since.get_or_insert_with(Instant::now);
-        } else if self.memory_wait_since.is_some() && !self.outbound.has_unread() {
-            self.memory_wait_since = None;
+            self.message.begin();
+        } else if self.message.has_waited_for_memory() && !self.outbound.has_unread() {
+            self.message.clear_memory_wait();
         }
     }
 
     /// Waits until something is read or written, or until the client exceeds one of its time limits.
     async fn wait(&mut self, missing: usize) -> WaitOutcome {
         let has_pending = self.outbound.has_pending();
-        let message_bytes = if self.discarded.is_some() {
-            missing
-        } else {
-            self.inbound.bytes.len() + missing
-        };
-        let memory_by = self.memory_deadline(message_bytes);
+        let message_bytes = self.message_bytes(missing);
+        let has_open_requests = self.open.any();
+        let memory_by =
+            self.message
+                .memory_deadline(message_bytes, &self.request_bytes, has_open_requests);
         let owed_until = self.owed_until();
-        let message = self
-            .awaited_since
-            .map(|since| TimeLimit::new(since + MAX_MESSAGE_TIME, owed_until));
+        let message = self.message.time_limit(owed_until);
         let stall = self.stalled_at().map(|at| TimeLimit::new(at, owed_until));
-        let holds_memory = self.permit.is_some();
+        let holds_memory = self.message.holds_memory();
         let read = MessageRead {
             inbound: &mut self.inbound,
             outbound: &self.outbound,
             request_bytes: &self.request_bytes,
-            permit: &mut self.permit,
+            permit: self.message.permit(),
             message_bytes,
             missing,
             memory_by,
@@ -363,7 +325,17 @@
         }
     }
 
-    /// Returns until when an answer is owed on this connection; none if every request is answered and its answer
+    /// Returns the size of the message in bytes, as far as it is known; that of the part to be read next if its bytes are
+    /// discarded.
+    fn message_bytes(&self, missing: usize) -> usize {
+        if self.message.is_discarded() {
+            missing
+        } else {
+            self.inbound.bytes.len() + missing
+        }
+    }
+
+    /// Returns until when an answer is owed on this connection; none if every request is answered and each answer is
     /// written.
     fn owed_until(&self) -> Option<Instant> {
         let owes_answer = self.open.any() || self.outbound.has_pending();
@@ -375,22 +347,4 @@
     fn stalled_at(&self) -> Option<Instant> {
         self.outbound.stalled_since().map(|since| since + MAX_STALL)
     }
-
-    /// Acquires the memory of a message if it is free now; otherwise returns until when the message may wait for it.
-    fn memory_deadline(&mut self, message_bytes: usize) -> Option<Instant> {
-        if message_bytes <= MAX_SMALL_MESSAGE || self.permit.is_some() {
-            return None;
-        }
-        self.permit = self.request_bytes.try_acquire_many(message_bytes);
-        if self.permit.is_some() {
-            return None;
-        }
-        let max_wait = if self.open.any() {
-            MAX_MEMORY_WAIT_WITH_OPEN_REQUESTS
-        } else {
-            MAX_MEMORY_WAIT
-        };
-        let wait_since = *self.memory_wait_since.get_or_insert_with(Instant::now);
-        Some(wait_since + max_wait)
-    }
 }
--- a/crates/flaxdeck-dispatcher/src/protocol/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod client_connection;
 mod host_connection;
 pub(crate) mod host_connections;
+mod incoming_message;
 mod message_read;
 mod open_requests;
 mod time_limit;
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -193,22 +193,9 @@
         self.quiet_since.set(Instant::now());
         self.has_sent.set(true);
         match event {
-            ClientEvent::Request { call, .. } if self.requests.borrow().contains_key(&call) => {
-                count(Counter::clients_malformed);
-                log::debug!(
-                    "closing a client connection: call number {call} is used by two open requests"
-                );
-                return false;
+            ClientEvent::Request { call, request } => {
+                return self.accept_request(router, connection, call, request);
             }
-            // Hosts identify requests by their ids alone, so a second one with the same id could be taken for the
-            // first.
-            ClientEvent::Request { call, request }
-                if router.requests.has_client_id(&request.id) =>
-            {
-                count(Counter::requests_id_in_use);
-                connection.answer_directly(call, DirectAnswer::Failed);
-            }
-            ClientEvent::Request { call, request } => self.admit(router, connection, call, request),
             ClientEvent::NoMemory { call } => reject_for_capacity(router, connection, call),
             ClientEvent::Cancel { call } => {
                 let request = self.requests.borrow_mut().remove(&call);
@@ -222,6 +209,32 @@
         true
     }
 
+    /// Starts a request, or answers it at once. Returns false if the connection is to be closed, as another open request
+    /// on it has the same call number.
+    fn accept_request(
+        &self,
+        router: &Rc<Router>,
+        connection: &mut ClientConnection,
+        call: u32,
+        request: Box<ClientRequest>,
+    ) -> bool {
+        if self.requests.borrow().contains_key(&call) {
+            count(Counter::clients_malformed);
+            log::debug!(
+                "closing a client connection: call number {call} is used by two open requests"
+            );
+            return false;
+        }
+        // Hosts identify requests by their ids alone, so a second one with the same id could be taken for the first.
+        if router.requests.has_client_id(&request.id) {
+            count(Counter::requests_id_in_use);
+            connection.answer_directly(call, DirectAnswer::Failed);
+        } else {
+            self.admit(router, connection, call, request);
+        }
+        true
+    }
+
     /// Starts a request if the connection's limit, the slots and the memory budget allow it; rejects it otherwise.
     fn admit(
         &self,
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
@@ -37,7 +37,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flaxdeck::{Endpoint, Time};
+use flaxdeck::{Endpoint, Span, Time};
 use flaxdeck_channel::authenticated::Key;
 use flaxdeck_channel::watch::{Event, ExpeditedReconnect, Watch};
 use flaxdeck_control::forwarder::{ForwarderOptions, ForwarderSession};
@@ -104,6 +104,14 @@
     tasks: TaskSet,
 }
 
+impl ControlClientOptions {
+    /// Has the operator's limit on time without contact not outlast the endpoint list.
+    fn limit_unconfirmed(&mut self, list_lifetime: Span) {
+        let limit = &mut self.session.unconfirmed_limit;
+        *limit = limit.map(|limit| limit.min(list_lifetime));
+    }
+}
+
 impl ControlClient {
     fn new(
         router: &Router,
@@ -116,12 +124,7 @@
         let expedited_reconnect = watch.expedited_reconnect(!options.planners.is_empty());
         let now = router.clock.now();
         let count = options.planners.len();
-        // The operator's limit must not outlast the one of the platform.
-        let list_lifetime = router.engine.borrow().list_lifetime();
-        options.session.unconfirmed_limit = options
-            .session
-            .unconfirmed_limit
-            .map(|limit| limit.min(list_lifetime));
+        options.limit_unconfirmed(router.engine.borrow().list_lifetime());
         let mut session = ForwarderSession::start(now, epoch, options.session, count as u32);
         let subscription = options.subscription.map(|subscription| {
             session.suppress_reports(subscription.report_idle_every);
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -16,10 +16,10 @@
 mod control_client;
 mod coordinator;
 mod events;
-mod news;
 mod persistence;
 mod request_table;
 mod requests;
+mod staleness;
 mod task_set;
 
 use std::cell::{OnceCell, RefCell};
--- a/crates/flaxdeck-dispatcher/src/routing/news.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/staleness.rs
@@ -17,7 +17,7 @@
     pub(super) async fn follow_last_heard(self: Rc<Router>, last_heard: Rc<LastHeard>) {
         let mut is_expired = false;
         loop {
-            self.report(Input::NewsKnown {
+            self.report(Input::EventsConfirmed {
                 at: self.last_heard_time(&last_heard),
             });
             let expires = self.engine.borrow().list_valid_until();
@@ -32,7 +32,8 @@
                     if is_expired {
                         count(Counter::list_expired);
                         log::error!(
-                            "the coordinator was not heard for {:.0} ms: hosts may have begun to drain, so nothing new is sent",
+                            "the coordinator was not heard for {:.0} ms: hosts may have begun to drain, so nothing \
+                             new is sent",
                             last_heard.at().elapsed().as_secs_f64() * 1000.0
                         );
                     }
--- a/crates/flaxdeck-distribution/src/subscriber/coordinator_need.rs
+++ b/crates/flaxdeck-distribution/src/subscriber/coordinator_need.rs
@@ -41,8 +41,8 @@
 }
 
 impl CoordinatorNeed {
-    /// Creates the tracker of a forwarder that has just started with that many planners. `preference` differs between forwarders and determines
-    /// the jitter.
+    /// Creates the tracker of a forwarder that has just started with that many planners. `preference` differs between
+    /// forwarders and determines the jitter.
     pub(super) fn new(
         now: Time,
         cadence: Cadence,
--- a/crates/flaxdeck-terms/src/lib.rs
+++ b/crates/flaxdeck-terms/src/lib.rs
@@ -152,11 +152,10 @@
         allowed,
         rules,
     } = sections;
-    let zone_dispatchers = family.numbers("count_by_zone")?;
     Ok(DeploymentTerms {
         classes,
         zone,
-        zone_dispatchers: zone_dispatchers.iter().map(|count| *count as u32).collect(),
+        zone_dispatchers: zone_dispatchers(family)?,
         dispatchers: settings.number_or("group_size", 1.0)? as u32,
         tick: settings.span("tick_ms")?,
         may_cancel: allowed.flag_or_false("cancel")?,
@@ -183,6 +182,12 @@
     })
 }
 
+/// Returns the number of dispatchers in each zone.
+fn zone_dispatchers(family: &Fields) -> Result<Vec<u32>, SettingsError> {
+    let counts = family.numbers("count_by_zone")?;
+    Ok(counts.iter().map(|count| *count as u32).collect())
+}
+
 fn own_zone(settings: &Fields, zones: &[String]) -> Result<ZoneId, SettingsError> {
     let zone = settings.text("zone")?;
     match index_of(zones, zone) {
--- a/src/decision/completed_attempt.rs
+++ b/src/decision/completed_attempt.rs
@@ -4,6 +4,32 @@
 
 use super::state::AttemptState;
 
+/// How the size of an answer compares with the one that the client stated.
+#[derive(Clone, Copy, PartialEq)]
+pub(super) enum AnswerSize {
+    /// It is the stated one, or was not measured.
+    AsStated,
+    /// The answer is larger.
+    Larger,
+    /// The answer is smaller, as it may be incomplete.
+    Smaller,
+}
+
+impl AnswerSize {
+    pub(super) fn of(ended: &AttemptEnded, stated_kb: Option<f64>) -> AnswerSize {
+        match ended.actual_kb {
+            None => AnswerSize::AsStated,
+            actual_kb if actual_kb > stated_kb => AnswerSize::Larger,
+            Some(_) => AnswerSize::Smaller,
+        }
+    }
+
+    /// Whether the answer has shown its size.
+    pub(super) fn is_verified(self) -> bool {
+        self != AnswerSize::Smaller
+    }
+}
+
 /// An attempt that has ended, with the properties of its request and its hosts at that time.
 pub(super) struct CompletedAttempt {
     pub(super) attempt: AttemptState,
@@ -13,8 +39,8 @@
     pub(super) transfer_ms: f64,
     /// Whether the size of the request is known.
     pub(super) size_known: bool,
-    /// Whether the answer did not contradict the size, or has shown it.
-    pub(super) size_verified: bool,
+    /// How the size of the answer compares with the stated one.
+    pub(super) size: AnswerSize,
     /// The size in KB, if the sources for the request are compared by bandwidth.
     pub(super) large_kb: Option<f64>,
     /// Whether its host is a cache, or no longer known.
@@ -30,7 +56,7 @@
 
     /// Whether its duration is that of a transfer of the known size.
     pub(super) fn shows_transfer(&self) -> bool {
-        self.is_answered() && !self.ended.unchanged && self.size_verified
+        self.is_answered() && !self.ended.unchanged && self.size.is_verified()
     }
 
     /// Whether a parent rejected the fill, which is a sign of load and not a failure.
--- a/src/decision/completion.rs
+++ b/src/decision/completion.rs
@@ -3,7 +3,7 @@
 use crate::{AttemptEnded, AttemptOutcome, Decisions, FillOutcome, HostId, RequestId, Role, Time};
 
 use super::DecisionEngine;
-use super::completed_attempt::CompletedAttempt;
+use super::completed_attempt::{AnswerSize, CompletedAttempt};
 use super::constants::{
     FAILURE_PENALTY, INITIAL_BACKOFF, INITIAL_WINDOW, MAX_BACKOFF_DOUBLINGS, UNREACHABLE_PENALTY,
 };
@@ -77,30 +77,29 @@
     /// Removes an ended attempt from its request; returns `None` if the request or the attempt is no longer known.
     fn complete_attempt(&mut self, ended: AttemptEnded) -> Option<CompletedAttempt> {
         let origin_healthy = ended.fill == FillOutcome::SourceRefused && self.origin_is_healthy();
-        let longer_ms = self.transfer_ms_of(ended.actual_kb);
+        let actual_ms = self.transfer_ms_of(ended.actual_kb);
         let id: RequestId = ended.request;
         let state = self.requests.get_mut(&id)?;
         let attempt = state.remove_attempt(&ended)?;
         let class = &mut self.classes[state.request.class.0];
         let is_large = class.is_large(&state.request);
-        // An answer that is shorter than stated may be spoilt, so it verifies nothing.
-        let larger_kb = ended
-            .actual_kb
-            .filter(|kb| Some(*kb) > state.request.size_kb);
-        let size_verified = ended.actual_kb.is_none() || larger_kb.is_some();
-        if larger_kb.is_some() {
-            class.doubt_sizes(self.now);
-        }
-        let size_kb = larger_kb.or(state.request.size_kb);
+        let size = AnswerSize::of(&ended, state.request.size_kb);
+        let (size_kb, transfer_ms) = match size {
+            AnswerSize::Larger => {
+                class.doubt_sizes(self.now);
+                (ended.actual_kb, actual_ms.unwrap_or(state.transfer_ms))
+            }
+            AnswerSize::AsStated | AnswerSize::Smaller => {
+                (state.request.size_kb, state.transfer_ms)
+            }
+        };
         let role_of = |id: &HostId| self.hosts.get(id).map(|host| host.endpoint.role);
         let completed = CompletedAttempt {
             class: state.request.class,
-            transfer_ms: longer_ms
-                .filter(|_| larger_kb.is_some())
-                .unwrap_or(state.transfer_ms),
+            transfer_ms,
+            size,
             size_known: size_kb.is_some(),
-            size_verified,
-            large_kb: size_kb.filter(|_| is_large && size_verified),
+            large_kb: size_kb.filter(|_| is_large && size.is_verified()),
             through_cache: role_of(&attempt.host).is_none_or(|role| role == Role::Cache),
             from_parent: role_of(&attempt.source) == Some(Role::Parent),
             attempt,
--- a/src/decision/constants.rs
+++ b/src/decision/constants.rs
@@ -152,10 +152,10 @@
 /// remembered for retries: several lifetimes of a copy in a cache.
 pub(super) const OBJECT_MEMORY: Span = Span::from_ms(60_000);
 
-// The coordinator's news.
+// Events of the coordinator.
 
-/// The platform's bound: what the coordinator has to tell counts as told after this, whether or not it has arrived.
-pub(super) const MAX_NEWS_DELAY: Span = Span::from_ms(7000);
+/// How long an event may take to arrive by the protocol. After that it is in force, whether or not it has arrived.
+pub(super) const MAX_EVENT_DELAY: Span = Span::from_ms(7000);
 
 // Cached copies.
 
--- a/src/decision/hedging.rs
+++ b/src/decision/hedging.rs
@@ -33,6 +33,26 @@
     }
 }
 
+/// Returns the number of overdue attempts that show a host to be silent.
+fn silence_proof(may_duplicate: bool) -> u32 {
+    if may_duplicate {
+        SILENCE_PROOF_IF_HEDGED
+    } else {
+        SILENCE_PROOF_IF_CANCELLED
+    }
+}
+
+impl Host {
+    /// Records that an attempt at this host has become overdue, whose answer was expected to take `expected_ms`.
+    fn record_overdue(&mut self, attempt: &AttemptState, expected_ms: f64, now: Time) {
+        self.adjust_window(false);
+        if attempt.without_fill() {
+            let elapsed_ms = now.since(attempt.sent).ms();
+            self.record_slowdown(now, elapsed_ms / expected_ms.max(1.0));
+        }
+    }
+}
+
 impl DecisionEngine {
     /// Rule: handles an attempt that has become overdue, and penalizes a host that is silent.
     ///
@@ -49,19 +69,10 @@
             return false;
         };
         if let Some(host) = self.hosts.get_mut(&attempt.host) {
-            host.adjust_window(false);
-            if attempt.without_fill() {
-                let elapsed = now.since(attempt.sent).ms();
-                let class = &self.classes[state.request.class.0];
-                let expected_ms = class.expected_ms(state.transfer_ms, now);
-                host.record_slowdown(now, elapsed / expected_ms.max(1.0));
-            }
+            let class = &self.classes[state.request.class.0];
+            host.record_overdue(attempt, class.expected_ms(state.transfer_ms, now), now);
         }
-        let proof = if self.terms.may_duplicate {
-            SILENCE_PROOF_IF_HEDGED
-        } else {
-            SILENCE_PROOF_IF_CANCELLED
-        };
+        let proof = silence_proof(self.terms.may_duplicate);
         let silent = count_silence(&mut self.hosts, attempt, now, proof);
         // Guards against blaming a host for a single large request, or for requests that queue behind one.
         if !silent.is_empty() && silent.iter().all(|host| host.attempts < proof) {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,9 +1,9 @@
 //! The decision engine: all routing decisions of one dispatcher.
 //!
 //! A caller creates a [`DecisionEngine`] with `start` and reports each event by a call: `list`, `request`,
-//! `attempt_ended`, `purge`, `news_known`, `apply_peer_hints`, `load_polled`, `wake`, `client_left`, `shut_down_at`. Each call
-//! returns [`Decisions`], which the caller applies in the order of the fields: cancels, attempts, final answers, load
-//! polls, next wake. The answer to an attempt is its request's final answer, so the engine returns none for it. The
+//! `attempt_ended`, `purge`, `events_confirmed`, `apply_peer_hints`, `load_polled`, `wake`, `client_left`,
+//! `shut_down_at`. Each call returns [`Decisions`], which the caller applies in the order of the fields: cancels,
+//! attempts, final answers, load polls, next wake. The answer to an attempt is its request's final answer, so the engine returns none for it. The
 //! reasons behind the decisions are in `docs/design.md`.
 //!
 //! | module | decides |
@@ -19,7 +19,7 @@
 //! | `retries`, `hedging` | whether a request may be sent again, or in parallel to a silent attempt |
 //! | `answers` | when a request is given up, and with which answer |
 //! | `freshness` | how old a copy may be |
-//! | `news` | how long list and purges are relied on while the coordinator is not heard |
+//! | `staleness` | how long list and purges are relied on while the coordinator is not heard |
 //! | `clearance` | whether an attempt may still be sent once its connection is established |
 //! | `completion`, `peers`, `load_polls` | what ended attempts, hints of peers and load polls change |
 //!
@@ -49,7 +49,6 @@
 mod load;
 mod load_polls;
 mod measurements;
-mod news;
 mod outliers;
 mod peers;
 mod rendezvous;
@@ -58,6 +57,7 @@
 mod rules;
 mod slow_start;
 mod source_selection;
+mod staleness;
 mod state;
 
 use class_statistics::ClassStatistics;
@@ -88,7 +88,7 @@
     /// Whether the endpoint list can be trusted; if not, no new attempt is made.
     list_trusted: bool,
     /// The latest time at which all of the coordinator's events were known; `None` if the caller never tells.
-    news_known_at: Option<Time>,
+    events_confirmed_at: Option<Time>,
     /// The fraction of its equal share that this dispatcher may use of a cold host without a quota from peers, 0 to 1.
     unhinted_fraction: f64,
     /// Mean transfer time of the requests of all classes, in ms.
@@ -119,19 +119,28 @@
         .map_or(1.0, |count| f64::from(*count).max(1.0))
 }
 
+/// Returns when the load of hosts is polled first; [`Time::NEVER`] where that is not allowed.
+fn first_load_poll(terms: &DeploymentTerms, now: Time) -> Time {
+    if terms.may_poll_load {
+        now + LOAD_POLL_INTERVAL
+    } else {
+        Time::NEVER
+    }
+}
+
 impl DecisionEngine {
     /// Creates an engine; the seed is its only source of randomness.
     pub fn start(now: Time, seed: u64, mut terms: DeploymentTerms) -> (DecisionEngine, Decisions) {
         let zone_dispatchers = dispatchers_of_own_zone(&terms);
-        let classes = std::mem::take(&mut terms.classes);
+        let classes = std::mem::take(&mut terms.classes)
+            .into_iter()
+            .map(|class| ClassStatistics::new(class, terms.sizes_are_claims))
+            .collect();
         let mut engine = DecisionEngine {
             now,
             started_at: now,
             rng: Pcg64Mcg::seed_from_u64(seed),
-            classes: classes
-                .into_iter()
-                .map(|class| ClassStatistics::new(class, terms.sizes_are_claims))
-                .collect(),
+            classes,
             zone_dispatchers,
             link: None,
             cache_slow_start: SlowStart::of_caches(&terms, zone_dispatchers),
@@ -142,14 +151,10 @@
                 .may_set_retry_after
                 .then(|| RETRY_AFTER.min(terms.max_retry_after)),
             list_trusted: true,
-            news_known_at: None,
+            events_confirmed_at: None,
             unhinted_fraction: 1.0,
             mean_transfer_ms: 0.0,
-            next_load_poll: if terms.may_poll_load {
-                now + LOAD_POLL_INTERVAL
-            } else {
-                Time::NEVER
-            },
+            next_load_poll: first_load_poll(&terms, now),
             terms,
             hosts: BTreeMap::new(),
             requests: BTreeMap::new(),
--- a/src/decision/news.rs
+++ b/src/decision/staleness.rs
@@ -1,20 +1,20 @@
 //! How long the endpoint list and the known purges may be relied on once the coordinator is not heard.
 //!
-//! What the coordinator has to tell counts as told some time after it happened, whether or not it has arrived. A host
-//! may have begun to drain, or an object may have been purged, at any time since the coordinator was last heard.
+//! By the protocol an event is in force some time after it happened, whether or not it has arrived. A host may have begun
+//! to drain, or an object may have been purged, at any time since the coordinator was last heard.
 
 use crate::{Decisions, Span, Time};
 
 use super::DecisionEngine;
-use super::constants::{AGE_ROUNDING, MAX_NEWS_DELAY};
+use super::constants::{AGE_ROUNDING, MAX_EVENT_DELAY};
 
 impl DecisionEngine {
     /// Notes that all events are known here that the coordinator had at that time. Before the first call nothing
     /// expires.
-    pub fn news_known(&mut self, now: Time, at: Time) -> Decisions {
+    pub fn events_confirmed(&mut self, now: Time, at: Time) -> Decisions {
         self.now = now;
         let was_valid = self.list_is_valid();
-        self.news_known_at = self.news_known_at.max(Some(at));
+        self.events_confirmed_at = self.events_confirmed_at.max(Some(at));
         if !was_valid {
             self.ready.extend(self.requests.keys().copied());
         }
@@ -24,13 +24,13 @@
     /// Returns the time from which no new attempt is made unless the coordinator is heard before;
     /// [`Time::NEVER`] where nothing expires.
     pub fn list_valid_until(&self) -> Time {
-        self.news_known_at
+        self.events_confirmed_at
             .map_or(Time::NEVER, |at| at + self.list_lifetime())
     }
 
     /// Returns how long the endpoint list may be relied on after the coordinator was heard.
     pub fn list_lifetime(&self) -> Span {
-        MAX_NEWS_DELAY + self.terms.drain_grace
+        MAX_EVENT_DELAY + self.terms.drain_grace
     }
 
     /// Whether hosts may be sent new requests by the endpoint list.
@@ -45,8 +45,8 @@
     ///
     /// Guards against purged copies while the coordinator is not heard: any copy that is older may have been purged.
     pub(super) fn unknown_purge_limit(&self) -> Option<Span> {
-        let in_force_after = MAX_NEWS_DELAY + self.terms.purge_grace;
-        self.news_known_at
+        let in_force_after = MAX_EVENT_DELAY + self.terms.purge_grace;
+        self.events_confirmed_at
             .filter(|at| self.now >= *at + in_force_after)
             .map(|_| in_force_after.saturating_sub(AGE_ROUNDING))
     }
--- a/src/deployment.rs
+++ b/src/deployment.rs
@@ -47,9 +47,9 @@
     pub client_kb_per_s: f64,
     /// Whether sizes are what clients state, which may be wrong; otherwise the platform vouches for them.
     pub sizes_are_claims: bool,
-    /// How long after the news that a host drains or is gone new requests may be sent to it.
+    /// How long after a host began to drain, or was removed, new requests may be sent to it.
     pub drain_grace: Span,
-    /// How long after the news of a purge older copies may be used.
+    /// How long after a purge older copies may be used.
     pub purge_grace: Span,
     /// Time after which a purge has reached all copies.
     pub purge_settles: Span,
--- a/src/polled.rs
+++ b/src/polled.rs
@@ -36,7 +36,7 @@
     /// Hints of other dispatchers have arrived.
     PeerHints(PeerHints),
     /// All events are known that the coordinator had at the given time.
-    NewsKnown {
+    EventsConfirmed {
         /// That time.
         at: Time,
     },
@@ -110,7 +110,7 @@
                 self.engine.attempt_ended(now, ended)
             }
             Input::PeerHints(hints) => self.engine.apply_peer_hints(now, hints),
-            Input::NewsKnown { at } => self.engine.news_known(now, at),
+            Input::EventsConfirmed { at } => self.engine.events_confirmed(now, at),
             Input::ShutdownAt(ends) => self.engine.shut_down_at(now, ends),
             Input::ClientLeft(request) => {
                 self.finish(request);
--- a/tests/news.rs
+++ b/tests/staleness.rs
@@ -12,8 +12,8 @@
 use fake::{Fake, default_hosts, terms};
 use flaxdeck::{AttemptIndex, AttemptOutcome, FillOutcome, Final, Span, Time};
 
-/// When news counts as told, and the graces of [`terms`] after it.
-const TOLD_AFTER_MS: u64 = 7000;
+/// When an event is in force by the protocol, and the graces of [`terms`] after it.
+const MAX_EVENT_DELAY_MS: u64 = 7000;
 const DRAIN_GRACE_MS: u64 = 1000;
 const PURGE_GRACE_MS: u64 = 500;
 
@@ -25,7 +25,7 @@
 }
 
 fn hear(fake: &mut Fake) {
-    let decisions = fake.engine.news_known(fake.now, fake.now);
+    let decisions = fake.engine.events_confirmed(fake.now, fake.now);
     assert!(decisions.finals.is_empty());
 }
 
@@ -43,7 +43,7 @@
 #[test]
 fn nothing_new_is_sent_once_an_unheard_drain_is_in_force() {
     let mut fake = heard_now();
-    fake.advance(TOLD_AFTER_MS + DRAIN_GRACE_MS);
+    fake.advance(MAX_EVENT_DELAY_MS + DRAIN_GRACE_MS);
     for object in 0..20 {
         assert!(!is_attempted(&mut fake, object));
     }
@@ -57,9 +57,9 @@
     );
 }
 
-// Guards against an outage that rejects requests while news may still be late.
+// Guards against an outage that rejects requests while events may still be late.
 #[test]
-fn an_outage_rejects_nothing_while_news_may_be_late() {
+fn an_outage_rejects_nothing_while_events_may_be_late() {
     let mut fake = heard_now();
     for object in 0..80 {
         fake.advance(99);
@@ -71,7 +71,7 @@
 #[test]
 fn requests_are_sent_again_once_the_coordinator_is_heard() {
     let mut fake = heard_now();
-    fake.advance(TOLD_AFTER_MS + DRAIN_GRACE_MS + 5000);
+    fake.advance(MAX_EVENT_DELAY_MS + DRAIN_GRACE_MS + 5000);
     assert!(!is_attempted(&mut fake, 1));
     hear(&mut fake);
     assert!(is_attempted(&mut fake, 2));
@@ -81,7 +81,7 @@
 #[test]
 fn an_attempt_is_not_cleared_once_the_list_has_expired() {
     let mut fake = heard_now();
-    fake.advance(TOLD_AFTER_MS + DRAIN_GRACE_MS - 10);
+    fake.advance(MAX_EVENT_DELAY_MS + DRAIN_GRACE_MS - 10);
     let position = fake.request(0, 1);
     let request = fake.sent[position].request;
     let cleared = |fake: &mut Fake| {
@@ -105,7 +105,7 @@
 #[test]
 fn copies_that_an_unheard_purge_may_concern_are_not_used() {
     let mut fake = heard_now();
-    fake.advance(TOLD_AFTER_MS + PURGE_GRACE_MS - 1);
+    fake.advance(MAX_EVENT_DELAY_MS + PURGE_GRACE_MS - 1);
     let position = fake.request(0, 1);
     assert_eq!(fake.sent[position].oldest, None);
     fake.advance(1);
@@ -114,7 +114,7 @@
         .oldest
         .expect("copies have an age limit");
     assert!(
-        limit <= Span::from_ms(TOLD_AFTER_MS + PURGE_GRACE_MS),
+        limit <= Span::from_ms(MAX_EVENT_DELAY_MS + PURGE_GRACE_MS),
         "{limit:?}"
     );
     hear(&mut fake);
