Take the mean of a class for a claim too until answers have verified it

Until 25 answers have shown their sizes the mean of a class is made of what clients state, and it is what a cold cache is charged.

Change: until the mean is verified the charge of a cold cache is a claim (ClassStatistics::claimed_cost), as that of a cold parent is: claims together count for the mean, less what chance explains, and an answer settles its charge.

--- a/src/decision/class_statistics.rs
+++ b/src/decision/class_statistics.rs
@@ -58,7 +58,7 @@
     /// out.
     pub(super) fn mean_transfer_ms(&self) -> f64 {
         let delivered = self.delivered;
-        if !self.sizes_are_claims || delivered.samples < MIN_VERIFIED_SAMPLES {
+        if !self.sizes_are_claims || !self.mean_is_verified() {
             return self.requested.ms;
         }
         self.requested.ms.clamp(
@@ -67,6 +67,11 @@
         )
     }
 
+    /// Whether enough answers have shown their sizes to bound the mean, or none need to.
+    fn mean_is_verified(&self) -> bool {
+        !self.sizes_are_claims || self.delivered.samples >= MIN_VERIFIED_SAMPLES
+    }
+
     /// Returns the samples in the mean, up to [`MAX_MEAN_SAMPLES`].
     pub(super) fn samples(&self) -> f64 {
         self.requested.samples
@@ -98,8 +103,8 @@
         self.doubted_until.is_some_and(|until| now < until)
     }
 
-    /// Returns the time in ms that an answer is expected to take at full speed where a host is blamed for taking longer:
-    /// by its stated size, but not less than the mean while stated sizes are doubted.
+    /// Returns the time in ms that an answer is expected to take at full speed where a host is blamed for taking
+    /// longer: by its stated size, but not less than the mean while stated sizes are doubted.
     ///
     /// Guards against hosts that are taken for silent or slow because clients state sizes that are too small.
     pub(super) fn expected_ms(&self, transfer_ms: f64, now: Time) -> f64 {
@@ -110,23 +115,31 @@
         }
     }
 
-    /// Returns the cost that a request is charged against the slow start of a host. A cache is charged the class's mean,
-    /// or the request's own time if that is longer and the mean is not trusted yet. A parent is charged the request's
-    /// own time; until the answer has shown it, it may turn out to be the mean.
+    /// Returns the cost that a request is charged against the slow start of a host. A cache is charged the class's
+    /// mean, or the request's own time if that is longer and the mean is not trusted yet. A parent is charged the
+    /// request's own time. Both are claims: that of a cache until answers have verified the mean, that of a parent until
+    /// its answer has shown it.
     pub(super) fn warmup_cost(&self, role: Role, transfer_ms: f64) -> WarmupCost {
         let mean = self.mean_transfer_ms();
         match role {
-            Role::Cache if self.samples() < MAX_MEAN_SAMPLES => {
-                WarmupCost::verified(mean.max(transfer_ms))
+            Role::Cache if self.mean_is_verified() && self.samples() >= MAX_MEAN_SAMPLES => {
+                WarmupCost::verified(mean)
             }
-            Role::Cache => WarmupCost::verified(mean),
+            Role::Cache if self.mean_is_verified() => WarmupCost::verified(mean.max(transfer_ms)),
+            Role::Cache => self.claimed_cost(mean.max(transfer_ms)),
             _ if self.terms.goes_through || !self.sizes_are_claims => {
                 WarmupCost::verified(transfer_ms)
             }
-            _ => WarmupCost {
-                stated: transfer_ms,
-                unverified: mean.max(self.delivered.ms).max(transfer_ms),
-            },
+            _ => self.claimed_cost(transfer_ms),
+        }
+    }
+
+    /// Returns the cost of a request that may turn out to be of the mean size.
+    fn claimed_cost(&self, ms: f64) -> WarmupCost {
+        let mean = self.mean_transfer_ms().max(self.delivered.ms);
+        WarmupCost {
+            stated: ms,
+            unverified: mean.max(ms),
         }
     }
 
--- a/src/decision/completion.rs
+++ b/src/decision/completion.rs
@@ -116,7 +116,7 @@
         Some(completed)
     }
 
-    /// Adds the size of an answer to the mean of its class, and charges it to a cold source.
+    /// Adds the size of an answer to the mean of its class, and charges it to a cold host and a cold source.
     ///
     /// Guards against means and charges that rest on the word of clients: a size counts once it was delivered.
     fn record_size(&mut self, completed: &CompletedAttempt) {
@@ -127,10 +127,10 @@
         if completed.size_known {
             self.classes[completed.class.0].record_delivered(completed.transfer_ms);
         }
-        if let Some(source) = self.hosts.get_mut(&attempt.source)
-            && !source.is(Role::Cache)
-        {
-            source.settle_charge(ended.request, ended.index, completed.transfer_ms);
+        for host in [&attempt.host, &attempt.source] {
+            if let Some(host) = self.hosts.get_mut(host) {
+                host.settle_charge(ended.request, ended.index, completed.transfer_ms);
+            }
         }
     }
 
--- a/src/decision/slow_start.rs
+++ b/src/decision/slow_start.rs
@@ -81,12 +81,19 @@
         true
     }
 
-    /// Charges an attempt for the size that its answer has shown.
+    /// Charges an attempt for the size that its answer has shown; at a cache for no less than was charged, which may be
+    /// the mean.
     pub(super) fn settle_charge(&mut self, request: RequestId, attempt: AttemptIndex, ms: f64) {
+        let is_cache = self.is(Role::Cache);
         let mut charges = self.warmup_charges.iter_mut();
-        if let Some(charge) = charges.find(|charge| charge.is_of(request, attempt)) {
-            charge.cost = WarmupCost::verified(ms);
-        }
+        let Some(charge) = charges.find(|charge| charge.is_of(request, attempt)) else {
+            return;
+        };
+        charge.cost = match charge.cost {
+            cost if is_cache && cost.is_verified() => cost,
+            cost if is_cache => WarmupCost::verified(cost.stated.max(ms)),
+            _ => WarmupCost::verified(ms),
+        };
     }
 
     /// Returns the charges of a window.
@@ -151,9 +158,9 @@
     }
 }
 
-/// Returns the work in ms that costs come to at a host. Those that are not verified together count for what they would be
-/// at the mean, less what chance explains: twice the root of the number that all dispatchers send, of which this one may
-/// use its quota.
+/// Returns the work in ms that costs come to at a host. Those that are not verified together count for what they would
+/// be at the mean, less what chance explains: twice the root of the number that all dispatchers send, of which this one
+/// may use its quota.
 ///
 /// Guards against a cold host that gets many large requests at once because clients state sizes that are too small.
 fn expected_work(costs: impl Iterator<Item = WarmupCost>, quota: f64) -> f64 {
--- a/tests/stated_sizes.rs
+++ b/tests/stated_sizes.rs
@@ -9,7 +9,7 @@
 mod fake;
 
 use fake::{Fake, endpoint, host};
-use flaxdeck::{AttemptOutcome, DeploymentTerms, Endpoint, FillOutcome, Role};
+use flaxdeck::{AttemptOutcome, DeploymentTerms, Endpoint, FillOutcome, Role, Span};
 
 /// What a parent or cache bears in a window of 2 s while it is cold, in requests of 100 ms: capacity 5, cold fraction
 /// 0.1 (parents) or 0.2 (caches), overload factor 2; and by how many chance may exceed that.
@@ -110,6 +110,31 @@
     assert_eq!(attempts_at(&fake, "p", before), 60);
 }
 
+// Guards against a cold cache that falls as many dispatchers start with requests of understated sizes: until answers
+// have shown the mean, it is made of these.
+#[test]
+fn understated_sizes_of_the_first_requests_keep_to_a_cold_caches_share() {
+    let dispatchers = 20;
+    let many = DeploymentTerms {
+        warm_within: Span::from_ms(100_000),
+        zone_dispatchers: vec![dispatchers, 0],
+        ..terms()
+    };
+    let mut fake = Fake::new(many, hosts());
+    restart(&mut fake, "a", Role::Cache);
+    fake.advance(2100); // a host that started as the dispatcher did counts as fully used before
+    let before = fake.sent.len();
+    fake.actual_kb = Some(100.0);
+    for object in 0..400 {
+        fake.request_and_answer(object, 0.5, FillOutcome::Hit, |_| 0);
+    }
+    let count = attempts_at(&fake, "a", before);
+    assert!(
+        (1..=with_chance(CACHE_BEARS) / dispatchers as usize).contains(&count),
+        "{count} requests of each dispatcher at the cold cache"
+    );
+}
+
 // Guards against a mean that follows stated sizes which no answer bears out: it is what cold caches are charged.
 #[test]
 fn stated_sizes_move_the_mean_only_as_far_as_answers_do() {
