Warn of a plan whose batches are too long for the graces of the settings

Change: a forwarder compares them when it starts and warns in its log (Cadence::max_failover_delay). It starts all the same: nothing is late while planners run. The test fails without the warning (batches of 200 ms), and passes with it.

--- a/crates/flaxdeck-cli/tests/commands.rs
+++ b/crates/flaxdeck-cli/tests/commands.rs
@@ -6,8 +6,9 @@
     reason = "a failed expectation fails the test"
 )]
 
+use std::io::{BufRead, BufReader};
 use std::path::PathBuf;
-use std::process::{Command, Output};
+use std::process::{Command, Output, Stdio};
 
 fn flaxdeck(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_flaxdeck"))
@@ -134,3 +135,50 @@
         "{output:?}"
     );
 }
+
+/// Starts a forwarder with that plan, and returns what it logs until it listens.
+fn log_of_start(config: &str, plan: &str) -> Vec<String> {
+    let mut process = Command::new(env!("CARGO_BIN_EXE_flaxdeck"))
+        .env_remove("GW_CONFIG")
+        .args(["forward", "--config", config, "--plan", plan])
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut log = Vec::new();
+    for line in BufReader::new(process.stderr.take().unwrap()).lines() {
+        let line = line.unwrap();
+        let listens = line.contains("listening at");
+        log.push(line);
+        if listens {
+            break;
+        }
+    }
+    process.kill().unwrap();
+    process.wait().unwrap();
+    log
+}
+
+// Guards against a plan by which a planner that hangs delays purges or drains beyond the graces of the settings, without
+// anybody being told.
+#[test]
+fn forward_warns_of_batches_that_are_too_long_for_the_settings() {
+    let text = std::fs::read_to_string(repository_file("examples/toy/config.json")).unwrap();
+    let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
+    config["listen"] = "127.0.0.1:0".into();
+    let config = temporary_file("late.json", &config.to_string());
+    temporary_file("late.key", &"0f".repeat(32));
+    let key = format!("flaxdeck-commands-{}-late.key", std::process::id());
+    // A planner is left after two batches, 400 ms at least; the grace of purges is 500 ms.
+    for (batch_ms, is_late) in [(100, false), (200, true), (1000, true)] {
+        let plan = temporary_file(
+            "late.plan",
+            &format!(
+                "(plan (key-file \"{key}\") (planners (planner (name a) (listen \"127.0.0.1:1\")))
+                 (events (by digest) (batch-ms {batch_ms})))"
+            ),
+        );
+        let log = log_of_start(&config, &plan);
+        let warns = log.iter().any(|line| line.contains("if a planner hangs"));
+        assert_eq!(warns, is_late, "batches of {batch_ms} ms: {log:?}");
+    }
+}
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
@@ -110,6 +110,22 @@
         let limit = &mut self.session.unconfirmed_limit;
         *limit = limit.map(|limit| limit.min(list_lifetime));
     }
+
+    /// Warns if a planner that hangs makes events later than the settings allow.
+    fn warn_of_late_events(&self, shortest_grace: Option<Span>) {
+        let (Some(subscription), Some(grace)) = (self.subscription, shortest_grace) else {
+            return;
+        };
+        let delay = subscription.cadence.max_failover_delay();
+        if delay > grace {
+            log::warn!(
+                "events may arrive {:.0} ms late if a planner hangs, the settings allow {:.0} ms: a shorter batch-ms \
+                 in the plan keeps to that",
+                delay.ms(),
+                grace.ms()
+            );
+        }
+    }
 }
 
 impl ControlClient {
@@ -125,6 +141,7 @@
         let now = router.clock.now();
         let count = options.planners.len();
         options.limit_unconfirmed(router.engine.borrow().list_lifetime());
+        options.warn_of_late_events(router.engine.borrow().shortest_event_grace());
         let mut session = ForwarderSession::start(now, epoch, options.session, count as u32);
         let subscription = options.subscription.map(|subscription| {
             session.suppress_reports(subscription.report_idle_every);
--- a/crates/flaxdeck-distribution/src/cadence.rs
+++ b/crates/flaxdeck-distribution/src/cadence.rs
@@ -51,4 +51,10 @@
             .max(self.heartbeat_interval * MISSED_HEARTBEATS)
             .max(MIN_SILENCE_TIMEOUT)
     }
+
+    /// Returns how late an event may arrive if the planner that delivers it hangs: the silence after which a forwarder
+    /// switches, and the other planner's next batch.
+    pub fn max_failover_delay(self) -> Span {
+        self.silence_timeout() + self.batch_interval
+    }
 }
--- a/src/decision/staleness.rs
+++ b/src/decision/staleness.rs
@@ -33,6 +33,15 @@
         MAX_EVENT_DELAY + self.terms.drain_grace
     }
 
+    /// Returns the shorter of the graces for drains and purges: events that arrive later than that break one of them.
+    /// `None` where the settings have none.
+    pub fn shortest_event_grace(&self) -> Option<Span> {
+        [self.terms.drain_grace, self.terms.purge_grace]
+            .into_iter()
+            .filter(|grace| *grace > Span::ZERO)
+            .min()
+    }
+
     /// Whether hosts may be sent new requests by the endpoint list.
     ///
     /// Guards against new requests to a host, or fills from a source, that drains or is gone since the coordinator was
--- a/src/polled.rs
+++ b/src/polled.rs
@@ -162,6 +162,11 @@
         self.engine.list_valid_until()
     }
 
+    /// Returns the shorter of the graces for drains and purges; `None` where the settings have none.
+    pub fn shortest_event_grace(&self) -> Option<Span> {
+        self.engine.shortest_event_grace()
+    }
+
     /// Returns how long the endpoint list may be relied on after the coordinator was heard.
     pub fn list_lifetime(&self) -> Span {
         self.engine.list_lifetime()
