--- a/crates/flaxdeck-cli/tests/commands.rs
+++ b/crates/flaxdeck-cli/tests/commands.rs
@@ -7,7 +7,7 @@
 )]
 
 use std::io::{BufRead, BufReader};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Command, Output, Stdio};
 
 fn flaxdeck(arguments: &[&str]) -> Output {
@@ -29,6 +29,12 @@
     path.to_string_lossy().into_owned()
 }
 
+/// Returns the last part of a path.
+fn file_name(path: &str) -> String {
+    let name = Path::new(path).file_name().unwrap();
+    name.to_string_lossy().into_owned()
+}
+
 fn repository_file(path: &str) -> String {
     PathBuf::from(env!("CARGO_MANIFEST_DIR"))
         .join("../..")
@@ -91,12 +97,7 @@
         text(&output.stderr).contains("none.key: cannot be read"),
         "{output:?}"
     );
-    let key = temporary_file("short.key", "abc");
-    let name = PathBuf::from(&key)
-        .file_name()
-        .unwrap()
-        .to_string_lossy()
-        .into_owned();
+    let name = file_name(&temporary_file("short.key", "abc"));
     let plan = temporary_file(
         "short.plan",
         &format!(
@@ -109,12 +110,7 @@
         text(&output.stderr).contains("a key has 64 hex digits"),
         "{output:?}"
     );
-    let good = temporary_file("good.key", &"0f".repeat(32));
-    let name = PathBuf::from(&good)
-        .file_name()
-        .unwrap()
-        .to_string_lossy()
-        .into_owned();
+    let name = file_name(&temporary_file("good.key", &"0f".repeat(32)));
     let plan = temporary_file(
         "good.plan",
         &format!(
@@ -150,12 +146,12 @@
         let listens = line.contains("listening at");
         log.push(line);
         if listens {
-            break;
+            process.kill().unwrap();
+            process.wait().unwrap();
+            return log;
         }
     }
-    process.kill().unwrap();
-    process.wait().unwrap();
-    log
+    panic!("the forwarder has ended before it listened: {log:?}");
 }
 
 // Guards against a plan by which a planner that hangs delays purges or drains beyond the graces of the settings, without
@@ -166,8 +162,7 @@
     let mut config: serde_json::Value = serde_json::from_str(&text).unwrap();
     config["listen"] = "127.0.0.1:0".into();
     let config = temporary_file("late.json", &config.to_string());
-    temporary_file("late.key", &"0f".repeat(32));
-    let key = format!("flaxdeck-commands-{}-late.key", std::process::id());
+    let key = file_name(&temporary_file("late.key", &"0f".repeat(32)));
     // A planner is left after two batches, 400 ms at least; the grace of purges is 500 ms.
     for (batch_ms, is_late) in [(100, false), (200, true), (1000, true)] {
         let plan = temporary_file(
--- a/crates/flaxdeck-dispatcher/tests/cancellations.rs
+++ b/crates/flaxdeck-dispatcher/tests/cancellations.rs
@@ -9,7 +9,7 @@
 mod world;
 
 use std::collections::BTreeSet;
-use std::io::{ErrorKind, Read, Write};
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::thread;
 
@@ -42,8 +42,7 @@
             match self.stream.read(&mut buffer) {
                 Ok(0) => break,
                 Ok(count) => self.rest.extend_from_slice(&buffer[..count]),
-                Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(_) => break, // the dispatcher has closed it
+                Err(_) => break, // nothing more yet, or the dispatcher has closed it
             }
         }
         let Some(end) = self.rest.windows(2).rposition(|pair| pair == b"\r\n") else {
--- a/src/decision/completion.rs
+++ b/src/decision/completion.rs
@@ -127,8 +127,11 @@
         if completed.size_known {
             self.classes[completed.class.0].record_delivered(completed.transfer_ms);
         }
-        for host in [&attempt.host, &attempt.source] {
-            if let Some(host) = self.hosts.get_mut(host) {
+        if !self.terms.sizes_are_claims {
+            return;
+        }
+        for id in attempt.participants() {
+            if let Some(host) = self.hosts.get_mut(id) {
                 host.settle_charge(ended.request, ended.index, completed.transfer_ms);
             }
         }
