--- a/crates/flaxdeck-cli/tests/commands.rs
+++ b/crates/flaxdeck-cli/tests/commands.rs
@@ -146,12 +146,16 @@
         let listens = line.contains("listening at");
         log.push(line);
         if listens {
-            process.kill().unwrap();
-            process.wait().unwrap();
-            return log;
+            break;
         }
     }
-    panic!("the forwarder has ended before it listened: {log:?}");
+    process.kill().unwrap();
+    process.wait().unwrap();
+    assert!(
+        log.iter().any(|line| line.contains("listening at")),
+        "the forwarder has ended before it listened: {log:?}"
+    );
+    log
 }
 
 // Guards against a plan by which a planner that hangs delays purges or drains beyond the graces of the settings, without
