Review, case 7: hosts that drain get work while the coordinator tells slowly

Cause: after an outage a pause of 30 ms in the backlog counts as its end, and the old list is relied on before the rest has come. Change: the case and its stand-in.

--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,6 +1,8 @@
 //! The cases, one module each.
 
+mod drains;
 mod renewals;
+mod slow_news;
 
 use std::io;
 use std::net::SocketAddr;
@@ -16,6 +18,7 @@
 /// Runs a case by its name.
 pub fn run(case: &str, play: &Play) -> io::Result<Verdict> {
     match case {
+        "slow-news" => slow_news::run(play),
         "renewals" => renewals::run(play),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
