Review, case 8: a kept list hides the purges of a new configuration

Cause: a forwarder that comes back compares event numbers of two starts and drops the events of its configuration, the purges among them. Change: the case and its stand-in.

--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,6 +1,7 @@
 //! The cases, one module each.
 
 mod drains;
+mod kept_list;
 mod renewals;
 mod slow_news;
 
@@ -20,6 +21,7 @@
     match case {
         "slow-news" => slow_news::run(play),
         "renewals" => renewals::run(play),
+        "kept-list" => kept_list::run(play),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
 }
