Review, case 9: a dispatcher that starts in an outage trusts its list anew

Cause: the time since the coordinator was heard begins with the start, though the configuration may hold the last list only. Change: the case and its stand-in.

--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod kept_list;
 mod renewals;
 mod slow_news;
+mod stale_start;
 
 use std::io;
 use std::net::SocketAddr;
@@ -22,6 +23,7 @@
         "slow-news" => slow_news::run(play),
         "renewals" => renewals::run(play),
         "kept-list" => kept_list::run(play),
+        "stale-start" => stale_start::run(play),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
 }
