--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases, one module each.
 
+mod bad_figure;
 mod drains;
 mod kept_list;
 mod renewals;
@@ -24,6 +25,7 @@
         "renewals" => renewals::run(play),
         "kept-list" => kept_list::run(play),
         "stale-start" => stale_start::run(play),
+        "bad-figure" => bad_figure::run(play),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
 }
