--- a/review/stand-ins-2/src/cases/renewals.rs
+++ b/review/stand-ins-2/src/cases/renewals.rs
@@ -1,5 +1,6 @@
-//! A parent dies and comes back cold and empty while the copies at the caches reach the last fifth of their fresh time.
-//! All that dispatchers have it asked for, fills included, must stay within what a cold parent bears.
+//! The main cache of one hub is lost and comes back cold and empty while pages that were purged together reach the last fifth
+//! of their fresh time at the caches of three campuses. All that dispatchers have it asked for, fills included, must stay
+//! within what a cold parent bears.
 
 use std::collections::HashMap;
 use std::io;
@@ -12,137 +13,158 @@
 use crate::coordinator::{Coordinator, Event, Health, Line};
 use crate::host::{Host, Reply, Want, name};
 use crate::record::{Record, unix_ms};
-use crate::world::{CACHE, CAMPUS, HUB, KB_PER_S, ORIGIN, PARENT, Rules, body};
+use crate::world::{CACHE, CAMPUS, HUB, KB_PER_S, ORIGIN, OTHER_HUB, PARENT, Rules, body};
 use crate::{Play, Verdict};
 
-/// The size of every page, and with it the mean of the class.
-const KB: f64 = 660.0;
-/// The mean sending time of the class.
-const MEAN_MS: f64 = KB / KB_PER_S * 1000.0;
-/// The fresh time of the class, and its last fifth.
+// The sizes of the deployment, each from the ranges of the site. Work is in milliseconds of a transfer at full pace.
+
+/// Requests a second, all of one workload.
+const REQUESTS_PER_S: f64 = 200.0;
+/// Their mean sending time.
+const MEAN_MS: f64 = 98.0;
+/// The load of the caches by this traffic, and with it their links at full load, in transfers.
+const LOAD: f64 = 0.64;
+const CACHES: u32 = 9;
+const CAPACITY: f64 = REQUESTS_PER_S * MEAN_MS / 1000.0 / LOAD;
+/// The part of it that is filled at full load.
+const FILLED: f64 = 0.2;
+/// The link of a main cache: 1.1 times the fills of 2.7 campuses, of which there are three.
+const PARENT_WEIGHT: f64 = 1.1 * FILLED * CAPACITY * 2.7 / 3.0;
+
+/// The fresh time of pages, and its last fifth.
 const FRESH_MS: u64 = 12_000;
 const AGEING_MS: u64 = FRESH_MS / 5 * 4;
-/// The link of the parent, in transfers.
-const PARENT_WEIGHT: f64 = 5.0;
-const OBJECTS: u64 = 200;
-/// Between two requests of all clients: 80 pages a second.
-const REQUEST_EVERY_MS: f64 = 12.5;
-/// The parents of the hub, here one, are lost for 8.8 s; when they are back the copies at the caches have begun to age.
-const DEAD_AT_MS: f64 = 900.0;
-const BACK_AT_MS: f64 = 9_700.0;
+/// Pages that each campus asks for in turn, once in 3.5 s each.
+const PAGES_OF_CAMPUS: u64 = 187;
+/// The group of all pages.
+const PAGE_GROUP: u16 = 17;
+/// One of so many requests is for a page that no cache holds.
+const MISS: u64 = 5;
+
+// The course of the run, from the start of the clients.
+
+/// All pages are purged, and fetched anew as they are asked for.
+const PURGED_AT_MS: f64 = 4_000.0;
+/// The main cache of one hub is lost for 8.8 s.
+const LOST_AT_MS: f64 = 5_200.0;
+const BACK_AT_MS: f64 = 14_000.0;
 /// From a change to when the coordinator has it.
 const NOTICE_MS: f64 = 500.0;
-const END_MS: f64 = 16_000.0;
+const END_MS: f64 = 21_000.0;
 
 const PARENT_ID: u32 = 0x9a01;
+const OTHER_PARENT_ID: u32 = 0x9a02;
 const ORIGIN_ID: u32 = 0x0001;
 
-/// What a parent or the origin was asked for.
+/// What the main cache was asked for.
 #[derive(Clone, Copy)]
 struct Fill {
     at: f64,
-    source: u32,
     /// Whether it renews a copy behind an answer.
     is_renewal: bool,
 }
 
-/// The caches' view of their sources: what is filled from where, and when.
+/// The parents and the origin as caches reach them.
 #[derive(Clone)]
 struct Sources {
     record: Record,
+    /// What the main cache that is lost was asked for.
     fills: Arc<Mutex<Vec<Fill>>>,
-    is_parent_dead: Arc<Mutex<bool>>,
+    is_lost: Arc<Mutex<bool>>,
 }
 
 impl Sources {
     /// Asks a source for an object; whether it gives it.
-    fn ask(&self, source: &str, key: &str, is_renewal: bool) -> bool {
-        let id = [PARENT_ID, ORIGIN_ID]
-            .into_iter()
-            .find(|id| name(*id) == source);
-        let is_dead = self.is_parent_dead.lock().is_ok_and(|dead| *dead);
-        let Some(id) = id.filter(|id| *id != PARENT_ID || !is_dead) else {
-            self.record
-                .note(&format!("{source} is not reached for {key}"));
-            return false;
-        };
+    fn ask(&self, source: &str, want: &Want, is_renewal: bool) -> bool {
+        let key = want.field("key");
+        let is_lost = self.is_lost.lock().is_ok_and(|lost| *lost);
+        if source == name(PARENT_ID) {
+            if is_lost {
+                self.record
+                    .note(&format!("{source} is not reached for {key}"));
+                return false;
+            }
+            if let Ok(mut fills) = self.fills.lock() {
+                fills.push(Fill {
+                    at: self.record.now(),
+                    is_renewal,
+                });
+            }
+        }
         let why = if is_renewal { "renewal" } else { "fill" };
         self.record
             .note(&format!("{source} is asked for {key}, {why}"));
-        if let Ok(mut fills) = self.fills.lock() {
-            fills.push(Fill {
-                at: self.record.now(),
-                source: id,
-                is_renewal,
-            });
-        }
         true
     }
 }
 
-/// One cache: its copies with the time at which the origin gave them out; an object that is being renewed is so once.
+/// The size of a page.
+const KB: f64 = MEAN_MS * KB_PER_S / 1000.0;
+
+/// One cache: its pages with the time at which the origin gave them out. A page that is being renewed is so once.
 #[derive(Clone, Default)]
 struct Cache {
-    copies: Arc<Mutex<HashMap<String, u64>>>,
+    pages: Arc<Mutex<HashMap<String, u64>>>,
     renewing: Arc<Mutex<HashMap<String, ()>>>,
 }
 
 impl Cache {
+    fn purge(&self) {
+        if let Ok(mut pages) = self.pages.lock() {
+            pages.clear();
+        }
+    }
+
     fn answer(&self, want: &Want, sources: &Sources) -> Reply {
-        let key = want.field("key").to_owned();
-        let limit = match want.field("newer").parse() {
-            Ok(0) | Err(_) => FRESH_MS,
-            Ok(limit) => limit,
-        };
-        let stamp = self
-            .copies
-            .lock()
-            .ok()
-            .and_then(|copies| copies.get(&key).copied());
-        let age = stamp.map(|stamp| unix_ms().saturating_sub(stamp));
-        let source = want.field("fetch").to_owned();
-        let reply = |word, how: &str, stamp: u64, body, ms| Reply {
+        let (key, source) = (want.field("key"), want.field("fetch"));
+        let now = unix_ms();
+        let limit = want.field("newer").parse().ok().filter(|limit| *limit > 0);
+        let pages = self.pages.lock().ok();
+        let stamp = pages.and_then(|pages| pages.get(key).copied());
+        let max_age = limit.unwrap_or(FRESH_MS);
+        let reply = |word, how: &str, stamp: u64, bytes, ms| Reply {
             word,
             fields: format!(
-                "how={how},version=a{stamp},stamp={stamp},stats=outstanding:1;x0:0.9;x1:0.2"
+                "how={how},version=a{stamp},stamp={stamp},stats=outstanding:1;x0:0.8;x1:0.9"
             ),
-            body,
+            body: bytes,
             after: Duration::from_millis(ms),
         };
-        match (stamp, age) {
-            (Some(stamp), Some(age)) if age <= limit => {
-                if age >= AGEING_MS && want.handles("revalidate") && !source.is_empty() {
-                    self.renew(&key, &source, sources);
+        let bytes = || body(key, KB);
+        match stamp.filter(|stamp| now.saturating_sub(*stamp) <= max_age) {
+            Some(stamp) => {
+                let is_ageing = now.saturating_sub(stamp) >= AGEING_MS;
+                if is_ageing && want.handles("revalidate") && !source.is_empty() {
+                    self.renew(want, sources);
                 }
-                reply("data", "hit", stamp, body(&key, KB), 4)
+                reply("data", "hit", stamp, bytes(), 10)
             }
-            _ if source.is_empty() => reply("absent", "src_lacks", 0, Vec::new(), 2),
-            _ if sources.ask(&source, &key, false) => {
-                let stamp = unix_ms();
-                if let Ok(mut copies) = self.copies.lock() {
-                    copies.insert(key.clone(), stamp);
+            None if source.is_empty() => reply("absent", "src_lacks", 0, Vec::new(), 2),
+            None if sources.ask(source, want, false) => {
+                if let Ok(mut pages) = self.pages.lock() {
+                    pages.insert(key.to_owned(), now);
                 }
-                reply("data", "filled", stamp, body(&key, KB), 30)
+                reply("data", "filled", now, bytes(), 60)
             }
-            _ => reply("full", "src_broke", 0, Vec::new(), 2),
+            None => reply("full", "src_broke", 0, Vec::new(), 2),
         }
     }
 
-    /// Fetches an ageing copy anew behind the answer.
-    fn renew(&self, key: &str, source: &str, sources: &Sources) {
+    /// Fetches an ageing page anew behind the answer, from the source that the request names.
+    fn renew(&self, want: &Want, sources: &Sources) {
         let Ok(mut renewing) = self.renewing.lock() else {
             return;
         };
-        if renewing.insert(key.to_owned(), ()).is_some() {
+        if renewing.insert(want.field("key").to_owned(), ()).is_some() {
             return;
         }
-        let (cache, sources) = (self.clone(), sources.clone());
-        let (key, source) = (key.to_owned(), source.to_owned());
+        let (cache, sources, want) = (self.clone(), sources.clone(), want.clone());
         spawn(move || {
-            let is_given = sources.ask(&source, &key, true);
-            sleep(Duration::from_millis(30));
-            if is_given && let Ok(mut copies) = cache.copies.lock() {
-                copies.insert(key.clone(), unix_ms());
+            let key = want.field("key").to_owned();
+            let is_given = sources.ask(want.field("fetch"), &want, true);
+            sleep(Duration::from_millis(60));
+            if is_given && let Ok(mut pages) = cache.pages.lock() {
+                pages.insert(key.clone(), unix_ms());
             }
             if let Ok(mut renewing) = cache.renewing.lock() {
                 renewing.remove(&key);
@@ -151,68 +173,90 @@
     }
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum Step {
+    Purge,
+    Lose,
+    TellGone,
+    Return,
+    TellReady,
+}
+
 pub fn run(play: &Play) -> io::Result<Verdict> {
-    let rules = Rules::USUAL;
+    let rules = Rules {
+        dispatchers: 3,
+        campuses: 3,
+        ..Rules::USUAL
+    };
     let sources = Sources {
         record: play.record.clone(),
         fills: Arc::default(),
-        is_parent_dead: Arc::default(),
+        is_lost: Arc::default(),
     };
-    let cache = |id| {
+    let mut caches = Vec::new();
+    let mut list = Vec::new();
+    for number in 0..CACHES {
         let (cache, sources) = (Cache::default(), sources.clone());
-        Host::start(id, &play.record, move |want| cache.answer(want, &sources))
-    };
-    let caches = [cache(0xca01)?, cache(0xca02)?, cache(0xca03)?];
-    // Pages may also come straight to the parent or the origin.
+        caches.push(cache.clone());
+        let host = Host::start(0xca01 + number, &play.record, move |want| {
+            cache.answer(want, &sources)
+        })?;
+        let campus = CAMPUS + (number % 3) as u8;
+        list.push(Line::of(&host, campus, CACHE, CAPACITY / f64::from(CACHES)));
+    }
+    // Requests may also come straight to a parent or the origin.
     let direct = |id: u32| {
         let sources = sources.clone();
         Host::start(id, &play.record, move |want| {
-            sources.ask(&name(id), want.field("key"), false);
+            sources.ask(&name(id), want, false);
             Reply {
                 word: "data",
                 fields: format!("how=hit,version=a1,stamp={}", unix_ms()),
-                body: body("page", KB),
-                after: Duration::from_millis(30),
+                body: body("direct", KB),
+                after: Duration::from_millis(60),
             }
         })
     };
-    let (parent, origin) = (direct(PARENT_ID)?, direct(ORIGIN_ID)?);
-    let mut list: Vec<Line> = caches
-        .iter()
-        .map(|cache| Line::of(cache, CAMPUS, CACHE, 8.0))
-        .collect();
+    let (parent, other) = (direct(PARENT_ID)?, direct(OTHER_PARENT_ID)?);
+    let origin = direct(ORIGIN_ID)?;
     let parent_line = Line::of(&parent, HUB, PARENT, PARENT_WEIGHT);
-    list.extend([parent_line.clone(), Line::of(&origin, HUB, ORIGIN, 12.0)]);
+    list.push(parent_line.clone());
+    list.push(Line::of(&other, OTHER_HUB, PARENT, PARENT_WEIGHT));
+    list.push(Line::of(&origin, OTHER_HUB, ORIGIN, 2.0 * PARENT_WEIGHT));
     let coordinator = Coordinator::start(&play.record, vec![Event::List(list)])?;
     let mut dispatchers = start_dispatchers(play, &rules, &coordinator)?;
 
     let start = play.record.now();
-    let mut steps = Vec::new();
+    let mut steps = vec![(PURGED_AT_MS, Step::Purge)];
     if play.trouble {
-        steps = vec![
-            (DEAD_AT_MS, Step::Die),
-            (DEAD_AT_MS + NOTICE_MS, Step::TellGone),
+        steps.extend([
+            (LOST_AT_MS, Step::Lose),
+            (LOST_AT_MS + NOTICE_MS, Step::TellGone),
             (BACK_AT_MS, Step::Return),
             (BACK_AT_MS + NOTICE_MS, Step::TellReady),
-        ];
+        ]);
     }
     let mut steps = steps.into_iter().peekable();
     let (mut born, mut told) = (None, None);
-    let (mut next, mut key) = (0.0, 0u64);
-    while next < END_MS {
+    let mut number = 0u64;
+    while number as f64 / REQUESTS_PER_S * 1000.0 < END_MS {
+        let next = number as f64 / REQUESTS_PER_S * 1000.0;
         wait_until(play, start + next);
         while let Some((_, step)) = steps.next_if(|(at, _)| *at <= next) {
-            let born_ms = born.map_or(0, |(_, unix)| unix);
             match step {
-                Step::Die | Step::Return => {
+                Step::Purge => {
+                    caches.iter().for_each(Cache::purge);
+                    coordinator.add(Event::PurgedGroup(PAGE_GROUP, unix_ms()));
+                }
+                Step::Lose | Step::Return => {
                     let is_back = step == Step::Return;
                     play.record.note(if is_back {
-                        "the parent is back"
+                        "the main cache is back"
                     } else {
-                        "the parent dies"
+                        "the main cache is lost"
                     });
-                    if let Ok(mut dead) = sources.is_parent_dead.lock() {
-                        *dead = !is_back;
+                    if let Ok(mut lost) = sources.is_lost.lock() {
+                        *lost = !is_back;
                     }
                     if is_back {
                         born = Some((play.record.now(), unix_ms()));
@@ -227,7 +271,7 @@
                 }
                 Step::TellReady => {
                     let line = Line {
-                        born_ms,
+                        born_ms: born.map_or(0, |(_, unix)| unix),
                         ..parent_line.clone()
                     };
                     coordinator.add(Event::Changes(vec![line]));
@@ -235,23 +279,25 @@
                 }
             }
         }
-        let turn = (key as usize) % dispatchers.len();
-        let Dispatcher { clients, .. } = &mut dispatchers[turn];
-        clients.send(&Ask {
+        let campus = number as usize % dispatchers.len();
+        let place = number / dispatchers.len() as u64;
+        let is_new = place.is_multiple_of(MISS);
+        let known = 0x7f3a_0000 + (place - place / MISS) % PAGES_OF_CAMPUS;
+        let ask = Ask {
             class: "course-page",
-            key: 0x7f3a_0000 + key % OBJECTS,
+            key: if is_new { (1 << 40) + number } else { known },
             wait_ms: 2500,
             kb: KB,
-            set: (key % 17).to_string(),
-        })?;
-        key += 1;
-        next += REQUEST_EVERY_MS;
+            set: PAGE_GROUP.to_string(),
+        };
+        let Dispatcher { clients, .. } = &mut dispatchers[campus];
+        clients.send(&ask)?;
+        number += 1;
     }
-    wait_until(play, start + END_MS + 2_600.0);
+    wait_until(play, start + END_MS + 6_100.0);
     check_running(&mut dispatchers)?;
-    let served = dispatchers
-        .iter()
-        .flat_map(|one| one.clients.requests())
+    let requests = dispatchers.iter().flat_map(|one| one.clients.requests());
+    let served = requests
         .filter(|request| matches!(request.answers[..], [(_, Answer::Served(_))]))
         .count();
     let fills = sources
@@ -259,39 +305,21 @@
         .lock()
         .map(|fills| fills.clone())
         .unwrap_or_default();
-    Ok(judge(&rules, &fills, born.map(|(at, _)| at), told, served))
-}
-
-#[derive(PartialEq)]
-enum Step {
-    Die,
-    TellGone,
-    Return,
-    TellReady,
+    let mut verdict = judge(&rules, &fills, born.map(|(at, _)| at), told);
+    verdict.summary = format!("{number} requests, {served} served; {}", verdict.summary);
+    Ok(verdict)
 }
 
 /// Looks at every window that begins with a fill after dispatchers were told of the start: it may hold N + 2 x root of
-/// N + 2 requests of mean work, N under 30 N + 3 x root of N + 3, N being what the settings allow the parent then.
-fn judge(
-    rules: &Rules,
-    fills: &[Fill],
-    born: Option<f64>,
-    told: Option<f64>,
-    served: usize,
-) -> Verdict {
-    let parent: Vec<&Fill> = fills
-        .iter()
-        .filter(|fill| fill.source == PARENT_ID)
-        .collect();
-    let renewals = parent.iter().filter(|fill| fill.is_renewal).count();
-    let mut summary = format!(
-        "{served} requests served; the parent was asked {} times, {renewals} of them renewals",
-        parent.len()
-    );
+/// N + 2 requests of mean work, N under 30 N + 3 x root of N + 3, N being what the settings allow the main cache then.
+fn judge(rules: &Rules, fills: &[Fill], born: Option<f64>, told: Option<f64>) -> Verdict {
     let (Some(born), Some(told)) = (born, told) else {
         return Verdict {
             violations: Vec::new(),
-            summary,
+            summary: format!(
+                "the main cache was asked {} times and never cold",
+                fills.len()
+            ),
         };
     };
     let capacity = |at: f64| {
@@ -299,43 +327,42 @@
         (rules.parent_cold_from + (1.0 - rules.parent_cold_from) * risen).min(1.0)
     };
     let mut violations = Vec::new();
-    let mut worst = String::new();
-    let mut worst_excess = f64::NEG_INFINITY;
-    for first in parent.iter().filter(|fill| fill.at >= told) {
+    let mut worst = (f64::NEG_INFINITY, String::new());
+    for first in fills.iter().filter(|fill| fill.at >= told) {
         let end = first.at + rules.window_ms;
-        let count = parent
-            .iter()
-            .filter(|fill| fill.at >= first.at && fill.at < end)
-            .count() as f64;
+        let within = || {
+            fills
+                .iter()
+                .filter(|fill| fill.at >= first.at && fill.at < end)
+        };
+        let asked = within().count() as f64;
+        let renewals = within().filter(|fill| fill.is_renewal).count();
         let mean_capacity = (capacity(first.at) + capacity(end)) / 2.0;
-        let allowed =
-            rules.parent_multiple * mean_capacity * PARENT_WEIGHT * rules.window_ms / MEAN_MS;
+        let work_ms = rules.parent_multiple * mean_capacity * PARENT_WEIGHT * rules.window_ms;
+        let allowed = work_ms / MEAN_MS;
         let slack = if allowed < 30.0 {
             3.0 * allowed.sqrt() + 3.0
         } else {
             2.0 * allowed.sqrt() + 2.0
         };
         let line = format!(
-            "from {:.0} ms on, {:.0} ms after its start, the parent is asked {count} times in {:.0} ms; N is {allowed:.1}, \
-             it falls over {:.1}",
+            "from {:.0} ms on, {:.0} ms after its start, the main cache of {PARENT_WEIGHT:.1} transfers is asked for {asked} \
+             fills in {:.0} ms, {renewals} of them renewals; N is {allowed:.1}, it falls over {:.1}",
             first.at,
             first.at - born,
             rules.window_ms,
             allowed + slack
         );
-        let excess = count - allowed - slack;
-        if excess > worst_excess {
-            worst_excess = excess;
-            worst = line.clone();
+        let excess = asked - allowed - slack;
+        if excess > worst.0 {
+            worst = (excess, line.clone());
         }
         if excess > 0.0 {
             violations.push(line);
         }
     }
-    summary.push_str("\nthe worst window: ");
-    summary.push_str(&worst);
     Verdict {
         violations,
-        summary,
+        summary: format!("the worst window: {}", worst.1),
     }
 }
--- a/review/stand-ins-2/src/coordinator.rs
+++ b/review/stand-ins-2/src/coordinator.rs
@@ -90,6 +90,7 @@
     List(Vec<Line>),
     Changes(Vec<Line>),
     PurgedObject(u64, u64),
+    PurgedGroup(u16, u64),
 }
 
 impl Event {
@@ -101,6 +102,9 @@
             Event::PurgedObject(object, at) => {
                 (3, [object.to_be_bytes(), at.to_be_bytes()].concat())
             }
+            Event::PurgedGroup(group, at) => {
+                (4, [&group.to_be_bytes()[..], &at.to_be_bytes()].concat())
+            }
         };
         frame(number, kind, &payload)
     }
@@ -120,6 +124,9 @@
             Event::PurgedObject(object, at) => {
                 format!(r#"{{"index":{number},"evict":{{"ref":"{object:016x}","unix_ms":{at}}}}}"#)
             }
+            Event::PurgedGroup(group, at) => {
+                format!(r#"{{"index":{number},"evict":{{"shard":{group},"unix_ms":{at}}}}}"#)
+            }
         }
     }
 
@@ -135,6 +142,7 @@
             Event::List(all) => format!("the list: {}", lines(all)),
             Event::Changes(some) => format!("changes: {}", lines(some)),
             Event::PurgedObject(object, at) => format!("purge of {object:016x} at {at}"),
+            Event::PurgedGroup(group, at) => format!("purge of group {group} at {at}"),
         }
     }
 }
