--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod drains;
 mod kept_list;
 mod renewals;
+mod silent_planners;
 mod slow_news;
 mod stale_start;
 
@@ -25,6 +26,7 @@
         "renewals" => renewals::run(play),
         "kept-list" => kept_list::run(play),
         "stale-start" => stale_start::run(play),
+        "silent-planners" => silent_planners::run(play),
         "bad-figure" => bad_figure::run(play),
         _ => Err(io::Error::other(format!("no case {case}"))),
     }
--- a/review/stand-ins-2/src/process.rs
+++ b/review/stand-ins-2/src/process.rs
@@ -56,6 +56,18 @@
         Ok(Process(child))
     }
 
+    /// Sends it a signal by its name.
+    pub fn signal(&self, name: &str) -> io::Result<()> {
+        let sent = Command::new("/bin/sh")
+            .args(["-c", &format!("kill -{name} {}", self.0.id())])
+            .status()?;
+        if sent.success() {
+            Ok(())
+        } else {
+            Err(io::Error::other("no signal could be sent"))
+        }
+    }
+
     /// Kills it at once.
     pub fn kill(&mut self) {
         // An error means that it has ended already.
