Refuse groups over 255, fields given twice and requests numbered 0

Cause: RequestDraft::set took whatever str::parse takes for the type of a field; the protocol's range stood nowhere. The same parser kept the last of two values of a field, and took the number 0, to which a cancellation without a number refers.

An `alive` numbered 0 is still answered.

--- a/crates/flaxdeck-wire/src/error.rs
+++ b/crates/flaxdeck-wire/src/error.rs
@@ -133,6 +133,15 @@
     /// The object's purge group is not a number.
     #[error("set is no number")]
     Group,
+    /// The number of the object's purge group is above the highest one.
+    #[error("set is over 255")]
+    GroupOutOfRange,
+    /// A field has two values.
+    #[error("a field is given twice")]
+    DuplicateField,
+    /// The call number is 0; call numbers start at 1.
+    #[error("message ids start at 1")]
+    CallNumberZero,
     /// The object's size is not a valid number of KB.
     #[error("kb is no number")]
     Size,
--- a/crates/flaxdeck-wire/src/rpc/mod.rs
+++ b/crates/flaxdeck-wire/src/rpc/mod.rs
@@ -21,6 +21,8 @@
 const MAX_FIELD: usize = MAX_NAME;
 /// Maximum fields of a message; the protocol defines nine.
 const MAX_FIELDS: usize = 64;
+/// The first call number of a connection.
+const FIRST_CALL: u32 = 1;
 /// The array length and the type number of a request.
 const REQUEST: (usize, u64) = (4, 0);
 /// The array length and the type number of a notification.
@@ -146,18 +148,19 @@
 fn read_call(reader: &mut Reader, names: &Names) -> Result<Draft, ReadError<Malformed>> {
     let call = read_call_number(reader)?;
     let method = reader.text(MAX_FIELD)?;
-    if let Some(class) = names.class(method) {
+    let class = names.class(method);
+    if let Some(class) = class.filter(|_| call >= FIRST_CALL) {
         return read_request(reader, call, class);
     }
     reader.skip(MAX_MESSAGE)?;
-    Ok(Draft::Message(if method == ALIVE {
-        ClientMessage::Alive { call }
-    } else {
-        ClientMessage::Invalid {
-            call,
-            reason: InvalidRequest::UnknownMethod,
-        }
-    }))
+    if method == ALIVE {
+        return Ok(Draft::Message(ClientMessage::Alive { call }));
+    }
+    let reason = match class {
+        Some(_) => InvalidRequest::CallNumberZero,
+        None => InvalidRequest::UnknownMethod,
+    };
+    Ok(Draft::Message(ClientMessage::Invalid { call, reason }))
 }
 
 // An invalid request that is valid MessagePack is answered and the connection stays open, so the reader has to end up
--- a/crates/flaxdeck-wire/src/rpc/request.rs
+++ b/crates/flaxdeck-wire/src/rpc/request.rs
@@ -1,5 +1,6 @@
 //! Parses the parameters of a client's request: its fields and its body.
 
+use std::mem;
 use std::ops::Range;
 
 use bytes::Bytes;
@@ -14,10 +15,18 @@
 const MIN_SIZE_KB: f64 = 0.001;
 /// Hex digits of a request id and of an object key.
 const HEX_DIGITS: usize = 16;
+/// The highest number of a purge group.
+const MAX_GROUP: u64 = 255;
+/// The fields that a request may have, each at most once.
+const FIELD_NAMES: [&str; 9] = [
+    "id", "key", "wait", "retry", "slice", "set", "kb", "seen", "once",
+];
 
 /// A request whose texts and body are still ranges of the buffer that it was parsed from.
 pub(super) struct RequestDraft {
     class: ClassId,
+    /// Which of [`FIELD_NAMES`] have been read.
+    given: [bool; FIELD_NAMES.len()],
     id: Option<Range<usize>>,
     key: Option<Range<usize>>,
     object: u64,
@@ -35,6 +44,7 @@
     fn new(class: ClassId) -> RequestDraft {
         RequestDraft {
             class,
+            given: [false; FIELD_NAMES.len()],
             id: None,
             key: None,
             object: 0,
@@ -66,6 +76,7 @@
             let name = reader.text(MAX_FIELD)?;
             let value = reader.text(MAX_FIELD)?;
             let range = reader.position() - value.len()..reader.position();
+            draft.mark_given(name)?;
             draft.set(name, value, range)?;
         }
         let body = reader.binary(MAX_WRITE)?;
@@ -73,6 +84,15 @@
         Ok(draft)
     }
 
+    /// Records that a field was read. Two values of one field contradict each other; unknown fields are ignored.
+    fn mark_given(&mut self, name: &str) -> Result<(), InvalidRequest> {
+        let index = FIELD_NAMES.iter().position(|known| *known == name);
+        match index.map(|index| mem::replace(&mut self.given[index], true)) {
+            Some(true) => Err(InvalidRequest::DuplicateField),
+            _ => Ok(()),
+        }
+    }
+
     /// Sets one field; unknown fields are ignored.
     fn set(&mut self, name: &str, value: &str, range: Range<usize>) -> Result<(), InvalidRequest> {
         match name {
@@ -84,7 +104,7 @@
             "wait" => self.timeout_ms = read_number(value),
             "retry" => self.is_retry = value == "1",
             "slice" => self.part = value.parse().map_err(|_| InvalidRequest::Part)?,
-            "set" => self.group = value.parse().map_err(|_| InvalidRequest::Group)?,
+            "set" => self.group = read_group(value)?,
             "kb" => self.size_kb = Some(read_size_kb(value).ok_or(InvalidRequest::Size)?),
             "seen" if is_word(value) => self.cached_tag = Some(range),
             "seen" => return Err(InvalidRequest::Tag),
@@ -134,6 +154,15 @@
     read_number(value).filter(|kb| *kb == 0.0 || *kb >= MIN_SIZE_KB)
 }
 
+/// Reads the number of a purge group.
+fn read_group(value: &str) -> Result<u64, InvalidRequest> {
+    let group = value.parse().map_err(|_| InvalidRequest::Group)?;
+    if group > MAX_GROUP {
+        return Err(InvalidRequest::GroupOutOfRange);
+    }
+    Ok(group)
+}
+
 /// Whether a line to a host can contain the value unescaped.
 fn is_word(value: &str) -> bool {
     let is_plain = |byte: u8| byte.is_ascii_graphic() && !b",=+".contains(&byte);
