Refuse hosts' answers and known events in forms that the protocol excludes

Sentences of PROTOCOL: "ID WORD FIELDS LENGTH", "where the last word is a length"; "the client's copy is the one: no bytes"; "The id is written as `s-` and 8 hex digits wherever it stands in text"; "A purge names an object or a group"; "Numbers are unsigned", "`known` holds the same events as JSON". An id in capitals is 8 hex digits too and is read as that of the frames.

Ruled out: reports, guidance and deliveries between forwarders and planners. Lists, measurements, link loads, windows, grants and stamps are checked by tests that stand already.

Result: two tests of lines.rs and three of frames.rs failed before and pass now; the tests of wire, channel, dispatcher and scale pass.

--- a/crates/flaxdeck-wire/src/error.rs
+++ b/crates/flaxdeck-wire/src/error.rs
@@ -29,6 +29,12 @@
     /// The first line of a host's answer has too few words.
     #[error("first line of a host's answer has too few words")]
     MissingWord,
+    /// The first line of a host's answer has words behind the body length.
+    #[error("first line of a host's answer has too many words")]
+    ExtraWord,
+    /// A host's answer says that the client's copy is current, and has a body.
+    #[error("host's answer without an object has a body")]
+    UnexpectedBody,
     /// The second word of a host's answer, its outcome, is unknown.
     #[error("unknown outcome in a host's answer")]
     UnknownAnswer,
--- a/crates/flaxdeck-wire/src/frames/known.rs
+++ b/crates/flaxdeck-wire/src/frames/known.rs
@@ -9,7 +9,7 @@
 use serde_json::Value;
 use thiserror::Error;
 
-use super::record::started;
+use super::record::{host_id, host_number, started};
 use super::{AddressedEndpoint, Event, NumberedEvents};
 
 /// Errors in the events of a configuration.
@@ -32,6 +32,18 @@
         /// The parse error.
         source: AddrParseError,
     },
+    /// The id of a host is not `s-` and 8 hex digits.
+    #[error("field host: {host:?} is not \"s-\" and 8 hex digits")]
+    HostId {
+        /// The field's value.
+        host: String,
+    },
+    /// The weight of a host is negative.
+    #[error("field share: negative")]
+    Weight,
+    /// A purge names neither an object nor a group.
+    #[error("field evict: neither ref nor shard is given")]
+    PurgeOfNothing,
     /// The key of a purged object is not a hex number.
     #[error("field ref: not a 64-bit hex number")]
     Object {
@@ -93,10 +105,13 @@
         }
         None => None,
     };
-    let group = GroupId(purge.unsigned_or_none("shard")?.unwrap_or(0));
+    let group = purge.unsigned_or_none("shard")?;
+    if object.is_none() && group.is_none() {
+        return Err(KnownEventsError::PurgeOfNothing);
+    }
     Ok(Event::Purged {
         object,
-        group,
+        group: GroupId(group.unwrap_or(0)),
         made,
     })
 }
@@ -106,8 +121,8 @@
     let health = read_health(row.text("health")?)?;
     let dial = row.text("dial")?;
     let listed = Endpoint {
-        host: HostId(row.text("host")?.into()),
-        weight: row.number_or("share", 1.0)?,
+        host: read_host(row.text("host")?)?,
+        weight: read_weight(&row)?,
         zone: index_in(&names.zones, row.text_or_none("site")?).map(ZoneId),
         cell: CellId(row.unsigned_or_none("block")?.unwrap_or(0)),
         role: names.role(index_in(&names.machine_kinds, row.text_or_none("class")?)),
@@ -118,6 +133,23 @@
     Ok(AddressedEndpoint { listed, address })
 }
 
+fn read_host(name: &str) -> Result<HostId, KnownEventsError> {
+    match host_number(name) {
+        Some(number) => Ok(host_id(number)),
+        None => Err(KnownEventsError::HostId {
+            host: name.to_owned(),
+        }),
+    }
+}
+
+fn read_weight(row: &Fields) -> Result<f64, KnownEventsError> {
+    let share = row.number_or("share", 1.0)?;
+    if share < 0.0 {
+        return Err(KnownEventsError::Weight);
+    }
+    Ok(share)
+}
+
 fn read_health(health: &str) -> Result<Health, KnownEventsError> {
     match health {
         "Ready" => Ok(Health::InService),
--- a/crates/flaxdeck-wire/src/frames/record.rs
+++ b/crates/flaxdeck-wire/src/frames/record.rs
@@ -48,7 +48,7 @@
     let address = Ipv4Addr::new(bytes[4], bytes[5], bytes[6], bytes[7]);
     Ok(AddressedEndpoint {
         listed: Endpoint {
-            host: HostId(format!("{HOST_PREFIX}{:08x}", big_endian(&bytes[..4])).into()),
+            host: host_id(big_endian(&bytes[..4]) as u32),
             weight: big_endian(&bytes[15..19]) as f64 / 1000.0,
             zone: zone.map(ZoneId),
             cell: CellId(big_endian(&bytes[13..15])),
@@ -82,7 +82,7 @@
     let weight = (listed.weight * 1000.0).round() as u32;
     let started = listed.started.map_or(0, |at| at.ms() as u64);
     let mut bytes = [0; RECORD_BYTES];
-    bytes[..4].copy_from_slice(&host_number(&listed.host)?.to_be_bytes());
+    bytes[..4].copy_from_slice(&host_number(&listed.host.0)?.to_be_bytes());
     bytes[4..8].copy_from_slice(&address.ip().octets());
     bytes[8..10].copy_from_slice(&address.port().to_be_bytes());
     bytes[10..13].copy_from_slice(&[health_byte(listed.health), zone, kind]);
@@ -92,12 +92,16 @@
     Some(bytes)
 }
 
-fn host_number(host: &HostId) -> Option<u32> {
-    let digits = host.0.strip_prefix(HOST_PREFIX)?;
-    if digits.len() != HOST_DIGITS {
-        return None;
-    }
-    u32::from_str_radix(digits, 16).ok()
+/// Returns the id of the host with that number, the same for frames and for text.
+pub(super) fn host_id(number: u32) -> HostId {
+    HostId(format!("{HOST_PREFIX}{number:08x}").into())
+}
+
+/// Returns the number in a host's name; none for a name that is not `s-` and 8 hex digits.
+pub(super) fn host_number(name: &str) -> Option<u32> {
+    let digits = name.strip_prefix(HOST_PREFIX)?;
+    let is_hex = digits.len() == HOST_DIGITS && digits.bytes().all(|byte| byte.is_ascii_hexdigit());
+    u32::from_str_radix(digits, 16).ok().filter(|_| is_hex)
 }
 
 fn health_byte(health: Health) -> u8 {
--- a/crates/flaxdeck-wire/src/lines.rs
+++ b/crates/flaxdeck-wire/src/lines.rs
@@ -234,6 +234,9 @@
         if !is_fence || line.split(' ').count() != 2 {
             head.body = Some(Body::read(&mut words)?);
         }
+        if head.unchanged && head.body.is_some_and(|body| body.length > 0) {
+            return Err(Malformed::UnexpectedBody);
+        }
         Ok(head)
     }
 
@@ -251,6 +254,9 @@
         if length > MAX_OBJECT {
             return Err(Malformed::BodyTooLong);
         }
+        if words.any(|word| !word.is_empty()) {
+            return Err(Malformed::ExtraWord);
+        }
         Ok(Body { fields, length })
     }
 }
--- a/crates/flaxdeck-wire/tests/errors.rs
+++ b/crates/flaxdeck-wire/tests/errors.rs
@@ -36,6 +36,14 @@
             Malformed::MissingWord,
             "first line of a host's answer has too few words",
         ),
+        (
+            Malformed::ExtraWord,
+            "first line of a host's answer has too many words",
+        ),
+        (
+            Malformed::UnexpectedBody,
+            "host's answer without an object has a body",
+        ),
         (
             Malformed::UnknownAnswer,
             "unknown outcome in a host's answer",
--- a/crates/flaxdeck-wire/tests/frames.rs
+++ b/crates/flaxdeck-wire/tests/frames.rs
@@ -13,11 +13,11 @@
 use flaxdeck_terms::fields::Fields;
 use flaxdeck_wire::Parsed;
 use flaxdeck_wire::frames::{
-    AddressedEndpoint, Event, Frame, HEADER_BYTES, KnownEvents, MAX_FRAME, known_events, parse,
-    read_record,
+    AddressedEndpoint, Event, Frame, HEADER_BYTES, KnownEvents, KnownEventsError, MAX_FRAME,
+    known_events, parse, read_record,
 };
 use names::names;
-use serde_json::Value;
+use serde_json::{Value, json};
 
 fn frame(index: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
     let length = (HEADER_BYTES + payload.len()) as u32;
@@ -168,3 +168,67 @@
         }
     ));
 }
+
+/// Reads the events of a configuration with one event of the given content.
+fn read_known(content: Value) -> Result<Vec<(u64, Event)>, KnownEventsError> {
+    let mut update = content;
+    update["index"] = 1.into();
+    let known = json!({"index": 1, "updates": [update]});
+    let known = Fields::of(&known, "known").unwrap();
+    known_events(&known, &names()).map(|known| known.events)
+}
+
+/// A list with one host, one field of which is replaced.
+fn list_with(name: &str, value: Value) -> Value {
+    let mut host = json!({"host": "s-00c41f7a", "dial": "127.1.0.9:5050", "site": "here", "class": "cache",
+        "block": 2, "health": "Ready", "share": 4.5, "born_ms": 0});
+    host[name] = value;
+    json!({"endpoints": {"seq": 1, "whole": true, "hosts": [host]}})
+}
+
+// Guards against a host that frames cannot name: its drains and its end would never apply to it.
+#[test]
+fn a_host_of_a_configuration_has_the_id_that_frames_have() {
+    for id in ["s-00c41f7a", "s-00C41F7A"] {
+        let events = read_known(list_with("host", id.into())).unwrap();
+        let Event::Hosts(ListKind::Full, hosts) = &events[0].1 else {
+            panic!("{events:?}")
+        };
+        let from_frame = read_record(&host_record(0), &names()).unwrap();
+        assert_eq!(hosts[0].listed.host, from_frame.listed.host, "{id}");
+    }
+    for id in [
+        "",
+        "c1",
+        "s-1",
+        "s-+0c41f7a",
+        "s-00c41f7ab",
+        "s-00c41f,a",
+        "t-00c41f7a",
+    ] {
+        let error = read_known(list_with("host", id.into())).unwrap_err();
+        assert_eq!(
+            error,
+            KnownEventsError::HostId {
+                host: id.to_owned()
+            }
+        );
+    }
+}
+
+// Guards against a purge of group 0 by an event that names no group.
+#[test]
+fn a_purge_of_a_configuration_names_an_object_or_a_group() {
+    let error = read_known(json!({"evict": {"unix_ms": 1764576000123u64}})).unwrap_err();
+    assert_eq!(error, KnownEventsError::PurgeOfNothing);
+    assert!(read_known(json!({"evict": {"shard": 0, "unix_ms": 1764576000123u64}})).is_ok());
+}
+
+// Guards against a host that is always or never chosen, as its weight is below zero.
+#[test]
+fn a_host_of_a_configuration_has_no_negative_weight() {
+    let error = read_known(list_with("share", (-4.0).into())).unwrap_err();
+    assert_eq!(error, KnownEventsError::Weight);
+    assert!(read_known(list_with("share", 0.into())).is_ok());
+    assert!(read_known(list_with("share", Value::Null)).is_ok());
+}
--- a/crates/flaxdeck-wire/tests/lines.rs
+++ b/crates/flaxdeck-wire/tests/lines.rs
@@ -11,7 +11,7 @@
 use bytes::{BufMut, Bytes, BytesMut};
 use flaxdeck::{AttemptOutcome, ClassId, FillOutcome, GroupId, HostId, ObjectId, Span};
 use flaxdeck_wire::lines::{AttemptOptions, MAX_HEAD, Response, encode_request, parse};
-use flaxdeck_wire::{ClientRequest, Parsed};
+use flaxdeck_wire::{ClientRequest, Malformed, Parsed};
 use names::names;
 
 fn request() -> ClientRequest {
@@ -184,6 +184,47 @@
     assert!(is_of_another_copy("how=hit", None));
 }
 
+// Guards against answers that are read by the fourth word of a line of which the last word is the body length.
+#[test]
+fn an_answer_with_words_behind_its_body_length_is_malformed() {
+    for line in ["1 data - 2 0", "1 failed - 0 x", "1 data how=hit 2  x"] {
+        let parsed = parse(&mut BytesMut::from(&*format!("{line}\r\nab\r\n")), &names());
+        assert_eq!(parsed, Err(Malformed::ExtraWord), "{line}");
+    }
+    let mut buffer = BytesMut::from("1 data - 2 \r\nab\r\n");
+    assert!(parse(&mut buffer, &names()).is_ok(), "a space at the end");
+}
+
+// Guards against calling a client's copy current by an answer that brings an object as well.
+#[test]
+fn an_answer_that_the_copy_is_current_has_no_body() {
+    let mut buffer = BytesMut::from("1 unchanged version=4be0 2\r\nab\r\n");
+    assert_eq!(parse(&mut buffer, &names()), Err(Malformed::UnexpectedBody));
+    let mut buffer = BytesMut::from("1 unchanged version=4be0 0\r\n\r\n");
+    assert!(matches!(
+        parse(&mut buffer, &names()),
+        Ok(Parsed::Complete(_))
+    ));
+}
+
+// The protocol is silent on these forms. Figures that are no numbers are ignored, and the answer is used.
+#[test]
+fn answers_with_figures_that_cannot_be_used_are_accepted_without_them() {
+    for value in ["NaN", "inf", "-1", "x", ""] {
+        let fields = format!("version=v,how=hit,took={value},stats=outstanding:{value};x1:{value}");
+        let mut buffer = BytesMut::from(&*format!("1 data {fields} 2\r\nab\r\n"));
+        let Ok(Parsed::Complete(response)) = parse(&mut buffer, &names()) else {
+            panic!("an answer with the figure {value:?} was not parsed")
+        };
+        let reply = response.host_reply;
+        assert_eq!(
+            (reply.waited, reply.report.link, reply.report.in_flight),
+            (None, None, None)
+        );
+        assert_eq!(&reply.body[..], b"ab");
+    }
+}
+
 #[test]
 fn malformed_responses_are_rejected() {
     let too_long = "x".repeat(MAX_HEAD + 2);
