Let the cancellation test not depend on how busy the machine is

Cause: a request takes 4.5 ms to send by the settings of the test, and the hosts that the test itself plays took about 20 ms on the busy machine. The decision engine counted that as a slow host, and rejected the requests that left the silent one ("Backoff" 450 ms after their start, right behind the line "outcome Cancelled") instead of sending them there. So nothing moved, and the test had nothing to judge.

Change: the settings of the test make a request take a quarter of a second to send, as those of departures.rs do for the same reason. The assertions are the same.

--- a/crates/flaxdeck-dispatcher/tests/cancellations.rs
+++ b/crates/flaxdeck-dispatcher/tests/cancellations.rs
@@ -18,6 +18,10 @@
 
 const REQUESTS: u32 = 16;
 
+/// A client bandwidth by which a request takes a quarter of a second to send, so that a busy machine alone makes no host
+/// slow: requests that left the silent host would be rejected instead of sent to one of those.
+const SLOW_TRANSFERS_KB_PER_S: u32 = 200;
+
 /// A host whose connections the test reads itself, so that it can look at two hosts in a known order.
 struct PolledHost {
     listener: TcpListener,
@@ -116,6 +120,7 @@
     let mut others: Vec<PolledHost> = (0..3).map(|_| PolledHost::start()).collect();
     let world = World::with_config(2, |config| {
         config["settings"]["allowed"]["may_duplicate"] = false.into();
+        config["settings"]["family_info"]["client_kb_per_s"] = SLOW_TRANSFERS_KB_PER_S.into();
         let rows = &mut config["known"]["updates"][0]["endpoints"]["hosts"];
         for (row, host) in [&silent].into_iter().chain(&others).enumerate() {
             rows[row]["dial"] = host.dial().into();
