Remember ids that may have run, so that they don't run a second time

Cause: RequestTable::client_ids held an id only while attempts of its request were open (release_client_id). may_have_run is kept with the request in the decision engine and went with it, so the next request with the id was a new one to it. Ruled out: retries and hedged requests (the second `want` line comes after the second client's request) and a race with the cancellation (it ran again also seconds after the first had ended).

Change: RunHistory keeps the ids of requests that may have run and are not idempotent, with time and host of the first run; the request's task records it once all its attempts have ended. An id of which nothing ran stays usable. Bounds: 10 minutes, a tenth of the memory limit; when full, ids over 30 s old make room, else new requests of such classes are rejected, so that no flood displaces a recent run.

--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -226,7 +226,7 @@
             return false;
         }
         // Hosts identify requests by their ids alone, so a second one with the same id could be taken for the first.
-        if router.requests.has_client_id(&request.id) {
+        if router.requests.has_client_id(request.id_number()) {
             count(Counter::requests_id_in_use);
             connection.answer_directly(call, DirectAnswer::Failed);
         } else {
@@ -235,7 +235,8 @@
         true
     }
 
-    /// Starts a request if the connection's limit, the slots and the memory budget allow it; rejects it otherwise.
+    /// Starts a request if the connection's limit, the slots, the memory budget and the history of requests allow it;
+    /// rejects it otherwise.
     fn admit(
         &self,
         router: &Rc<Router>,
@@ -248,7 +249,8 @@
             && !connection.is_stalled();
         let slot = router.slots.try_acquire();
         let bytes = router.request_bytes.try_acquire_many(request.body.len());
-        match bytes.filter(|_| is_within_limit && slot.is_some()) {
+        let has_room = is_within_limit && slot.is_some() && router.can_remember(request.class);
+        match bytes.filter(|_| has_room) {
             Some(bytes) => {
                 let timeout = to_duration(request.timeout);
                 let responder = connection.responder(call, slot, timeout);
--- a/crates/flaxdeck-dispatcher/src/routing/coordinator.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/coordinator.rs
@@ -84,6 +84,7 @@
         self.request_bytes.resize(bounds.request_bytes);
         self.answer_bytes.resize(bounds.response_bytes);
         self.clients.resize(bounds.clients);
+        self.run_history.borrow_mut().resize(bounds.remembered_runs);
         self.host_connections.resize(bounds.hosts);
         *self.pending_reload.borrow_mut() = Some(PendingReload {
             watch,
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -27,6 +27,7 @@
 use std::time::Duration;
 
 use flaxdeck::polled::{Input, PolledEngine, Step};
+use flaxdeck::run_history::RunHistory;
 use flaxdeck::{AttemptIndex, Clearance, DeploymentTerms, RequestId, Span, Time, ZoneId};
 use flaxdeck_channel::watch::Watch;
 use flaxdeck_net::budget::{Bounds, Budget};
@@ -66,6 +67,8 @@
     /// The longest time that a client waits for an answer.
     longest_wait: Span,
     answer_sizes: AnswerSizes,
+    /// The requests that have ended and must not run a second time.
+    run_history: RefCell<RunHistory>,
     host_connections: Rc<HostConnections>,
     /// One permit for each request, held until its answer is written.
     slots: Budget,
@@ -100,6 +103,7 @@
         let (zone, purge_settles) = (terms.zone, terms.purge_settles);
         let longest_wait = connection_terms.longest_wait;
         let answer_sizes = AnswerSizes::new(flow_bytes_per_s, &terms);
+        let run_history = RunHistory::new(&terms, bounds.remembered_runs);
         Rc::new(Router {
             clock,
             engine: RefCell::new(PolledEngine::start(clock.now(), seed, terms)),
@@ -116,6 +120,7 @@
             purge_settles,
             longest_wait,
             answer_sizes,
+            run_history: RefCell::new(run_history),
             slots: Budget::new(bounds.requests),
             request_bytes: Rc::new(Budget::new(bounds.request_bytes)),
             answer_bytes,
--- a/crates/flaxdeck-dispatcher/src/routing/request_table.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/request_table.rs
@@ -4,8 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
-use bytes::Bytes;
-use flaxdeck::{ObjectId, RequestId};
+use flaxdeck::{ClientRequestId, ObjectId, RequestId};
 use flaxdeck_net::metrics::assert_invariant;
 use tokio::sync::Notify;
 
@@ -27,7 +26,7 @@
 pub(super) struct RequestTable {
     open: RefCell<BTreeMap<RequestId, Rc<OpenRequest>>>,
     /// The clients' ids of all requests whose tasks still run.
-    client_ids: RefCell<BTreeSet<Bytes>>,
+    client_ids: RefCell<BTreeSet<ClientRequestId>>,
     next: Cell<u64>,
     /// One task for each request.
     pub(super) tasks: TaskSet,
@@ -45,7 +44,7 @@
     pub(super) fn open(
         &self,
         id: RequestId,
-        client_id: Bytes,
+        client_id: ClientRequestId,
         object: ObjectId,
     ) -> Rc<OpenRequest> {
         let request = Rc::new(OpenRequest {
@@ -67,13 +66,13 @@
     }
 
     /// Frees a client's id once all attempts of its request have ended, so that another request may use it.
-    pub(super) fn release_client_id(&self, client_id: &Bytes) {
-        self.client_ids.borrow_mut().remove(client_id);
+    pub(super) fn release_client_id(&self, client_id: ClientRequestId) {
+        self.client_ids.borrow_mut().remove(&client_id);
     }
 
     /// Whether a request with that client id is open or has attempts that have not ended.
-    pub(super) fn has_client_id(&self, client_id: &Bytes) -> bool {
-        self.client_ids.borrow().contains(client_id)
+    pub(super) fn has_client_id(&self, client_id: ClientRequestId) -> bool {
+        self.client_ids.borrow().contains(&client_id)
     }
 
     /// Whether the request is waiting for its answer.
--- a/crates/flaxdeck-dispatcher/src/routing/requests.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/requests.rs
@@ -5,8 +5,8 @@
 
 use flaxdeck::polled::{Input, Step};
 use flaxdeck::{
-    Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, Clearance, HostId, Request, RequestId,
-    Span,
+    Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, ClassId, Clearance, HostId, PossibleRun,
+    Request, RequestId, Span, Time,
 };
 use flaxdeck_net::budget::Permit;
 use flaxdeck_net::clock::to_duration;
@@ -24,6 +24,8 @@
 struct RunningAttempt {
     index: AttemptIndex,
     host: HostId,
+    /// When the decision engine sent it.
+    sent: Time,
     started: Instant,
     /// Set just before the first byte is written to the host.
     is_write_started: Rc<Cell<bool>>,
@@ -52,9 +54,17 @@
     /// The attempts that have not ended.
     running: Vec<RunningAttempt>,
     tasks: JoinSet<EndedAttempt>,
+    /// The first attempt that may have run.
+    possible_run: Option<PossibleRun>,
 }
 
 impl Router {
+    /// Whether a request of that class may be sent: it could be remembered as one that has run, or need not be.
+    pub(super) fn can_remember(&self, class: ClassId) -> bool {
+        let now = self.clock.now();
+        self.run_history.borrow_mut().has_room_for(now, class)
+    }
+
     /// Starts a request; its task gives the answer.
     pub(super) fn start_request(
         self: &Rc<Router>,
@@ -76,11 +86,21 @@
         };
         let entry = self
             .requests
-            .open(id, client_request.id.clone(), client_request.object);
+            .open(id, client_request.id_number(), client_request.object);
         if let Some(client) = self.control_client.get() {
             client.report_purge_for_request(self, client_request.object);
         }
-        self.report(Input::RequestArrived(request));
+        let earlier_run = self
+            .run_history
+            .borrow()
+            .earlier_run(self.clock.now(), client_request.id_number());
+        self.report(match earlier_run {
+            Some(run) => {
+                count(Counter::requests_repeated);
+                Input::RequestRepeated(request, run)
+            }
+            None => Input::RequestArrived(request),
+        });
         let task = RequestTask {
             router: self.clone(),
             id,
@@ -90,6 +110,7 @@
             responder: Some(responder),
             running: Vec::new(),
             tasks: JoinSet::new(),
+            possible_run: None,
         };
         self.requests.tasks.spawn(task.run());
         id
@@ -116,15 +137,33 @@
                 }
             }
         }
+        self.remember_run();
         self.router
             .requests
-            .release_client_id(&self.client_request.id);
+            .release_client_id(self.client_request.id_number());
         assert_invariant(
             self.router.pick(self.id) == Step::Wait,
             "the decision engine has no step left for a request that ends",
         );
     }
 
+    /// Remembers the request if it may have run, so that its id does not run a second time.
+    fn remember_run(&mut self) {
+        if let Some(run) = self.possible_run.take() {
+            let request = &self.client_request;
+            let mut history = self.router.run_history.borrow_mut();
+            history.record(request.class, request.id_number(), run);
+        }
+    }
+
+    /// Notes that an attempt may have run.
+    fn note_possible_run(&mut self, attempt: &RunningAttempt) {
+        self.possible_run.get_or_insert_with(|| PossibleRun {
+            sent: attempt.sent,
+            host: attempt.host.clone(),
+        });
+    }
+
     fn handle_client_left(&mut self) {
         count(Counter::left);
         log::debug!("left: request {}", self.id.0);
@@ -204,6 +243,7 @@
         self.running.push(RunningAttempt {
             index,
             host,
+            sent: self.router.clock.now(),
             started: Instant::now(),
             is_write_started,
             task,
@@ -224,6 +264,9 @@
         };
         count(Counter::taken_back);
         attempt.task.abort();
+        if attempt.is_write_started.get() {
+            self.note_possible_run(&attempt);
+        }
         // The aborted task returns no result, so the end of the attempt is reported here. Otherwise an open request
         // would wait for it for ever.
         if self.responder.is_some() {
@@ -236,6 +279,9 @@
             return;
         };
         let mut reply = ended.reply;
+        if !reply.outcome.never_ran() {
+            self.note_possible_run(&attempt);
+        }
         // Guards against a client that goes on using an outdated copy: a host that reports another tag as unchanged has
         // not confirmed the client's copy. The attempt counts as failed, and later ones request the whole object.
         if reply.is_of_another_copy(&self.client_request) {
--- a/crates/flaxdeck-net/src/budget.rs
+++ b/crates/flaxdeck-net/src/budget.rs
@@ -16,6 +16,12 @@
 const REQUEST_OVERHEAD_FRACTION: f64 = 0.2;
 /// The fraction of the memory limit available for the bytes of requests and their responses.
 const MESSAGE_BYTES_FRACTION: f64 = 0.4;
+/// The fraction of the memory limit available for the history of requests that must not run a second time.
+const RUN_HISTORY_FRACTION: f64 = 0.1;
+/// Bytes that one entry of that history needs in its tables, which double their size when they are full.
+pub const RUN_HISTORY_ENTRY: f64 = 100.0;
+/// The most entries of that history.
+const MAX_RUN_HISTORY: usize = 1 << 17;
 /// Bytes that one request needs besides its message: its task, its table entries and its connection's read buffer.
 pub const REQUEST_OVERHEAD: f64 = 16.0 * 1024.0;
 /// Bytes of the largest message that is covered by the memory reserved for its connection or request; a larger one
@@ -42,6 +48,8 @@
     pub request_bytes: usize,
     /// Total bytes of responses.
     pub response_bytes: usize,
+    /// Requests that must not run a second time and are remembered after their end.
+    pub remembered_runs: usize,
 }
 
 impl Bounds {
@@ -61,6 +69,8 @@
             requests: ((memory * REQUEST_OVERHEAD_FRACTION / REQUEST_OVERHEAD) as usize).max(1),
             request_bytes,
             response_bytes: bytes - request_bytes,
+            remembered_runs: ((memory * RUN_HISTORY_FRACTION / RUN_HISTORY_ENTRY) as usize)
+                .clamp(1, MAX_RUN_HISTORY),
         }
     }
 }
--- a/crates/flaxdeck-net/src/metrics.rs
+++ b/crates/flaxdeck-net/src/metrics.rs
@@ -47,6 +47,8 @@
     requests_no_room,
     /// Requests not accepted as their id belongs to another request that still has attempts in flight.
     requests_id_in_use,
+    /// Requests whose id is that of an earlier one that may have run and must not run a second time.
+    requests_repeated,
     /// Answers whose size is not the one that their client stated.
     sizes_contradicted,
     /// Requests answered with an object.
--- a/crates/flaxdeck-net/tests/budget.rs
+++ b/crates/flaxdeck-net/tests/budget.rs
@@ -6,7 +6,9 @@
     reason = "a failed expectation fails the test"
 )]
 
-use flaxdeck_net::budget::{Bounds, Budget, MAX_SMALL_MESSAGE, REQUEST_OVERHEAD, RESERVED_SOCKETS};
+use flaxdeck_net::budget::{
+    Bounds, Budget, MAX_SMALL_MESSAGE, REQUEST_OVERHEAD, RESERVED_SOCKETS, RUN_HISTORY_ENTRY,
+};
 
 use std::future::Future;
 use std::pin::pin;
@@ -45,6 +47,7 @@
             requests,
             request_bytes,
             response_bytes,
+            remembered_runs,
         } = Bounds::of(memory_mb, sockets);
         assert!(clients + hosts + RESERVED_SOCKETS <= sockets);
         let held = requests as f64 * REQUEST_OVERHEAD
@@ -53,5 +56,10 @@
             held <= memory_mb * 0.65 * 1024.0 * 1024.0,
             "{held} bytes exceed the share of {memory_mb} MiB, with {sockets} descriptors"
         );
+        let history = remembered_runs as f64 * RUN_HISTORY_ENTRY;
+        assert!(
+            remembered_runs > 0 && history <= memory_mb * 0.1 * 1024.0 * 1024.0,
+            "{history} bytes of history exceed the share of {memory_mb} MiB"
+        );
     }
 }
--- a/crates/flaxdeck-wire/src/lib.rs
+++ b/crates/flaxdeck-wire/src/lib.rs
@@ -25,7 +25,9 @@
 pub mod rpc;
 
 use bytes::Bytes;
-use flaxdeck::{AttemptOutcome, ClassId, FillOutcome, GroupId, LoadReport, ObjectId, Span};
+use flaxdeck::{
+    AttemptOutcome, ClassId, ClientRequestId, FillOutcome, GroupId, LoadReport, ObjectId, Span,
+};
 
 pub use error::{InvalidRequest, InvalidValue, Malformed, ReadError};
 pub use lines::AttemptOptions;
@@ -75,6 +77,17 @@
     pub body: Bytes,
 }
 
+impl ClientRequest {
+    /// Returns the number that the request's id encodes.
+    pub fn id_number(&self) -> ClientRequestId {
+        let digits = self
+            .id
+            .iter()
+            .filter_map(|byte| char::from(*byte).to_digit(16));
+        ClientRequestId(digits.fold(0, |number, digit| number << 4 | u64::from(digit)))
+    }
+}
+
 /// The final answer to a client's request.
 #[derive(Debug, PartialEq)]
 pub enum Answer {
--- a/src/decision/completion.rs
+++ b/src/decision/completion.rs
@@ -1,13 +1,16 @@
 //! Processing the end of an attempt: updates its request, its host and its source.
 
-use crate::{AttemptEnded, AttemptOutcome, Decisions, FillOutcome, HostId, RequestId, Role, Time};
+use crate::{
+    AttemptEnded, AttemptOutcome, Decisions, FillOutcome, HostId, PossibleRun, RequestId, Role,
+    Time,
+};
 
 use super::DecisionEngine;
 use super::completed_attempt::{AnswerSize, CompletedAttempt};
 use super::constants::{
     FAILURE_PENALTY, INITIAL_BACKOFF, INITIAL_WINDOW, MAX_BACKOFF_DOUBLINGS, UNREACHABLE_PENALTY,
 };
-use super::state::{AttemptState, PossibleRun, RequestState, Timer};
+use super::state::{AttemptState, RequestState, Timer};
 
 impl RequestState {
     fn remove_attempt(&mut self, ended: &AttemptEnded) -> Option<AttemptState> {
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -1,7 +1,7 @@
 //! The decision engine: all routing decisions of one dispatcher.
 //!
 //! A caller creates a [`DecisionEngine`] with `start` and reports each event by a call: `list`, `request`,
-//! `attempt_ended`, `purge`, `events_confirmed`, `apply_peer_hints`, `load_polled`, `wake`, `client_left`,
+//! `repeated_request`, `attempt_ended`, `purge`, `events_confirmed`, `apply_peer_hints`, `load_polled`, `wake`, `client_left`,
 //! `shut_down_at`. Each call returns [`Decisions`], which the caller applies in the order of the fields: cancels,
 //! attempts, final answers, load polls, next wake. The answer to an attempt is its request's final answer, so the engine returns none for it. The
 //! reasons behind the decisions are in `docs/design.md`.
@@ -31,8 +31,8 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::{
-    Decisions, DeploymentTerms, Endpoint, GroupId, Health, HostId, ListKind, ObjectId, Request,
-    RequestId, Sampled, Span, Time,
+    Decisions, DeploymentTerms, Endpoint, GroupId, Health, HostId, ListKind, ObjectId, PossibleRun,
+    Request, RequestId, Sampled, Span, Time,
 };
 
 mod answers;
@@ -209,7 +209,29 @@
     }
 
     /// Accepts a client's request, which is given exactly one final answer.
-    pub fn request(&mut self, now: Time, mut request: Request) -> Decisions {
+    pub fn request(&mut self, now: Time, request: Request) -> Decisions {
+        self.accept(now, request, None)
+    }
+
+    /// Accepts a client's request whose id is that of an earlier one that may have run.
+    ///
+    /// Guards against an effect that happens twice where a client uses an id again: the request counts as one that may
+    /// have run already.
+    pub fn repeated_request(
+        &mut self,
+        now: Time,
+        request: Request,
+        earlier_run: PossibleRun,
+    ) -> Decisions {
+        self.accept(now, request, Some(earlier_run))
+    }
+
+    fn accept(
+        &mut self,
+        now: Time,
+        mut request: Request,
+        earlier_run: Option<PossibleRun>,
+    ) -> Decisions {
         request.deadline = request.deadline.min(self.shutdown_at);
         let transfer_ms = self.estimate_transfer_ms(&request);
         // A client that retries has been waiting since its first request, so the objective of that request still holds.
@@ -221,7 +243,8 @@
         let objective =
             promised.unwrap_or(now + terms.objective + Span::of_ms(transfer_ms * terms.stretch));
         let id = request.id;
-        let state = RequestState::new(request, now, transfer_ms, objective);
+        let mut state = RequestState::new(request, now, transfer_ms, objective);
+        state.may_have_run = earlier_run;
         self.timers.insert(state.answer_timer(self.answer_margin));
         self.requests.insert(id, state);
         self.ready.insert(id);
--- a/src/decision/retries.rs
+++ b/src/decision/retries.rs
@@ -68,15 +68,21 @@
     /// effect.
     pub(super) fn rejection_is_harmless(&self, state: &RequestState) -> bool {
         match self.class_of(&state.request).terms.repeats {
-            Repeats::Idempotent
-            | Repeats::Deduplicated {
+            Repeats::Idempotent => true,
+            Repeats::Deduplicated {
                 scope: Scope::All, ..
-            } => true,
+            } => !self.repeats_forgotten_run(state),
             Repeats::Deduplicated { .. } | Repeats::AtMostOnce => {
                 state.may_have_run.is_none() && state.in_flight.is_empty()
             }
         }
     }
+
+    /// Whether the request repeats an earlier one with the same id, which the hosts do not remember any more.
+    fn repeats_forgotten_run(&self, state: &RequestState) -> bool {
+        let is_repeat = state.attempts == 0 && state.may_have_run.is_some();
+        is_repeat && self.now + self.answer_margin >= self.deduplicated_until(state)
+    }
 }
 
 /// Returns when the first attempt that may have run was sent; an attempt in flight may have run.
--- a/src/decision/state.rs
+++ b/src/decision/state.rs
@@ -3,8 +3,8 @@
 use std::cell::Cell;
 
 use crate::{
-    AttemptIndex, Endpoint, GroupId, Health, HostId, LoadReport, ObjectId, Request, RequestId,
-    Role, Sampled, SourceMeasurements, Span, Time,
+    AttemptIndex, Endpoint, GroupId, Health, HostId, LoadReport, ObjectId, PossibleRun, Request,
+    RequestId, Role, Sampled, SourceMeasurements, Span, Time,
 };
 
 use super::constants::{INITIAL_WINDOW, TRIAL_INTERVAL};
@@ -212,12 +212,6 @@
     }
 }
 
-/// The first attempt of a request that may have run.
-pub(super) struct PossibleRun {
-    pub(super) sent: Time,
-    pub(super) host: HostId,
-}
-
 /// A request that has no final answer yet.
 pub(super) struct RequestState {
     pub(super) request: Request,
@@ -228,6 +222,7 @@
     pub(super) in_flight: Vec<AttemptState>,
     /// Attempts made so far.
     pub(super) attempts: u32,
+    /// Its first attempt that may have run, or that of an earlier request with the same id.
     pub(super) may_have_run: Option<PossibleRun>,
     /// The earliest time of its next attempt.
     pub(super) not_before: Time,
--- a/src/id.rs
+++ b/src/id.rs
@@ -6,6 +6,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct RequestId(pub u64);
 
+/// The id that a client gave a request; hosts identify the request by it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ClientRequestId(pub u64);
+
 /// Identifies an object, the same at every dispatcher.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ObjectId(pub u64);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,13 +13,16 @@
 mod peers;
 pub mod polled;
 mod request;
+pub mod run_history;
 mod time;
 
 pub use attempt::{Attempt, AttemptEnded, AttemptOutcome, Cancel, Clearance, FillOutcome};
 pub use decisions::Decisions;
 pub use deployment::DeploymentTerms;
 pub use endpoint::{Endpoint, Health, ListKind, LoadReport, Role};
-pub use id::{AttemptIndex, CellId, ClassId, GroupId, HostId, ObjectId, RequestId, ZoneId};
+pub use id::{
+    AttemptIndex, CellId, ClassId, ClientRequestId, GroupId, HostId, ObjectId, RequestId, ZoneId,
+};
 pub use peers::{Observation, PeerHint, PeerHints, SourceMeasurements, WarmupQuota, WarmupUsage};
-pub use request::{Final, Repeats, Request, RequestClass, Scope};
+pub use request::{Final, PossibleRun, Repeats, Request, RequestClass, Scope};
 pub use time::{Sampled, Span, Time};
--- a/src/polled.rs
+++ b/src/polled.rs
@@ -9,8 +9,8 @@
 use crate::decision::DecisionEngine;
 use crate::{
     Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, Clearance, Decisions, DeploymentTerms,
-    Endpoint, Final, GroupId, ListKind, ObjectId, Observation, PeerHints, Request, RequestId,
-    Sampled, Span, Time,
+    Endpoint, Final, GroupId, ListKind, ObjectId, Observation, PeerHints, PossibleRun, Request,
+    RequestId, Sampled, Span, Time,
 };
 
 /// An event that the caller reports.
@@ -29,6 +29,8 @@
     },
     /// A client's request has arrived.
     RequestArrived(Request),
+    /// A client's request has arrived whose id is that of an earlier one that may have run.
+    RequestRepeated(Request, PossibleRun),
     /// An attempt has ended; if it was answered, that is its request's final answer.
     AttemptEnded(AttemptEnded),
     /// The client of a request has disconnected.
@@ -103,6 +105,10 @@
                 self.queues.insert(request.id, StepQueue::default());
                 self.engine.request(now, request)
             }
+            Input::RequestRepeated(request, earlier_run) => {
+                self.queues.insert(request.id, StepQueue::default());
+                self.engine.repeated_request(now, request, earlier_run)
+            }
             Input::AttemptEnded(ended) => {
                 if ended.outcome == AttemptOutcome::Answered {
                     self.finish(ended.request);
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,6 +1,6 @@
 //! Clients' requests, their classes, and the final answers that a dispatcher gives itself.
 
-use crate::{ClassId, GroupId, ObjectId, RequestId, Span, Time};
+use crate::{ClassId, GroupId, HostId, ObjectId, RequestId, Span, Time};
 
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -70,6 +70,15 @@
     pub is_retry: bool,
 }
 
+/// The first attempt of a request that may have run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PossibleRun {
+    /// When the attempt was sent.
+    pub sent: Time,
+    /// The host that may have run it.
+    pub host: HostId,
+}
+
 /// A final answer that the dispatcher gives itself.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Final {
--- a/tests/fake/mod.rs
+++ b/tests/fake/mod.rs
@@ -7,7 +7,8 @@
 use flaxdeck::{
     Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, Cancel, CellId, ClassId, Decisions,
     DeploymentTerms, Endpoint, FillOutcome, Final, GroupId, Health, HostId, ListKind, LoadReport,
-    ObjectId, Repeats, Request, RequestClass, RequestId, Role, Scope, Span, Time, ZoneId,
+    ObjectId, PossibleRun, Repeats, Request, RequestClass, RequestId, Role, Scope, Span, Time,
+    ZoneId,
 };
 
 /// The fake location, with all decisions that its engine has returned.
@@ -218,10 +219,32 @@
         self.send(0, object, part, Some(20.0))
     }
 
+    /// Sends a request of 100 KB whose id is that of an earlier one that may have run.
+    pub(crate) fn repeat(&mut self, class: usize, object: u64, earlier_run: PossibleRun) -> usize {
+        let position = self.sent.len();
+        let request = self.new_request(class, object, 0, Some(100.0));
+        let decisions = self.engine.repeated_request(self.now, request, earlier_run);
+        self.apply(decisions);
+        position
+    }
+
     fn send(&mut self, class: usize, object: u64, part: u64, size_kb: Option<f64>) -> usize {
-        self.latest_id += 1;
         let position = self.sent.len();
-        let request = Request {
+        let request = self.new_request(class, object, part, size_kb);
+        let decisions = self.engine.request(self.now, request);
+        self.apply(decisions);
+        position
+    }
+
+    fn new_request(
+        &mut self,
+        class: usize,
+        object: u64,
+        part: u64,
+        size_kb: Option<f64>,
+    ) -> Request {
+        self.latest_id += 1;
+        Request {
             id: RequestId(self.latest_id),
             class: ClassId(class),
             object: ObjectId(object),
@@ -230,10 +253,7 @@
             size_kb,
             deadline: self.now + Span::from_ms(4000),
             is_retry: self.client_retry,
-        };
-        let decisions = self.engine.request(self.now, request);
-        self.apply(decisions);
-        position
+        }
     }
 
     /// Ends the attempt at a position in `sent`, after the default time.
--- /dev/null
+++ b/tests/run_history.rs
@@ -0,0 +1,105 @@
+//! The history of requests that may have run: what is remembered, for how long, and what may displace it.
+
+mod fake;
+
+use fake::{host, terms};
+use flaxdeck::run_history::{MAX_AGE, MIN_AGE, RunHistory};
+use flaxdeck::{ClassId, ClientRequestId, PossibleRun, Span, Time};
+
+/// The classes of [`terms`].
+const IDEMPOTENT: ClassId = ClassId(0);
+const AT_MOST_ONCE: ClassId = ClassId(1);
+const DEDUPLICATED: ClassId = ClassId(2);
+
+const CAPACITY: usize = 100;
+
+fn at(ms: u64) -> Time {
+    Time::at_ms(100_000.0) + Span::from_ms(ms)
+}
+
+fn run_at(sent: Time) -> PossibleRun {
+    PossibleRun {
+        sent,
+        host: host("o"),
+    }
+}
+
+/// Records runs of new requests at `sent` until the history is full.
+fn fill(history: &mut RunHistory, sent: Time) {
+    let mut number = 1_000_000;
+    while history.has_room_for(sent, AT_MOST_ONCE) {
+        number += 1;
+        history.record(AT_MOST_ONCE, ClientRequestId(number), run_at(sent));
+    }
+}
+
+// Guards against ids that are forgotten with the request: the next request with the same id ran a second time.
+#[test]
+fn a_run_is_remembered_unless_its_class_is_idempotent() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    let classes = [IDEMPOTENT, AT_MOST_ONCE, DEDUPLICATED];
+    for (number, class) in classes.into_iter().enumerate() {
+        history.record(class, ClientRequestId(number as u64), run_at(at(0)));
+    }
+    let run = |number| history.earlier_run(at(5000), ClientRequestId(number));
+    assert_eq!(run(0), None);
+    assert_eq!(run(1), Some(run_at(at(0))));
+    assert_eq!(run(2), Some(run_at(at(0))));
+}
+
+#[test]
+fn the_first_run_of_an_id_is_the_one_that_counts() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    history.record(DEDUPLICATED, ClientRequestId(1), run_at(at(0)));
+    history.record(DEDUPLICATED, ClientRequestId(1), run_at(at(900)));
+    let earlier = history.earlier_run(at(1000), ClientRequestId(1));
+    assert_eq!(earlier, Some(run_at(at(0))));
+    assert_eq!(history.len(), 1);
+}
+
+// Guards against a flood of new ids that pushes out one that has run.
+#[test]
+fn a_full_history_takes_no_new_request_rather_than_forget_a_recent_run() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
+    fill(&mut history, at(10));
+    let almost = at(0) + MIN_AGE - Span::from_ms(1);
+    assert!(!history.has_room_for(almost, AT_MOST_ONCE));
+    assert!(!history.has_room_for(almost, DEDUPLICATED));
+    assert!(history.has_room_for(almost, IDEMPOTENT));
+    assert!(history.earlier_run(almost, ClientRequestId(1)).is_some());
+    assert_eq!(history.len(), CAPACITY);
+}
+
+#[test]
+fn a_full_history_drops_the_oldest_runs_that_are_old_enough() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
+    fill(&mut history, at(10));
+    assert!(history.has_room_for(at(0) + MIN_AGE, AT_MOST_ONCE));
+    assert_eq!(history.len(), CAPACITY - 1);
+    let now = at(0) + MIN_AGE;
+    assert_eq!(history.earlier_run(now, ClientRequestId(1)), None);
+}
+
+// Guards against memory that grows for as long as the process runs.
+#[test]
+fn runs_are_forgotten_in_time() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
+    let almost = at(0) + MAX_AGE - Span::from_ms(1);
+    assert!(history.has_room_for(almost, AT_MOST_ONCE));
+    assert!(history.earlier_run(almost, ClientRequestId(1)).is_some());
+    assert!(history.has_room_for(at(0) + MAX_AGE, AT_MOST_ONCE));
+    assert!(history.is_empty());
+}
+
+#[test]
+fn a_smaller_capacity_applies_to_the_next_request() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    fill(&mut history, at(0));
+    history.resize(CAPACITY / 2);
+    assert!(!history.has_room_for(at(10), AT_MOST_ONCE));
+    assert!(history.has_room_for(at(0) + MIN_AGE, AT_MOST_ONCE));
+    assert!(history.len() < CAPACITY / 2);
+}
