Correct a test that asked for a second run of an id at most once

Change: the test asks for a failure and no second `want` there. What it guarded against, ids that stay in use for ever, is asked of an idempotent class in a test of its own, with the same steps and the same assertions.

--- a/crates/flaxdeck-dispatcher/tests/requests.rs
+++ b/crates/flaxdeck-dispatcher/tests/requests.rs
@@ -213,8 +213,49 @@
     second
         .send(&request_message(2, "submit", &fields(KEY), b"a form"))
         .unwrap();
+    assert_eq!(
+        error_text(second.answer().unwrap()),
+        "Lost",
+        "a request at most once has run, so its id never runs again"
+    );
+    assert_eq!(world.origin.received("want").len(), 1);
+}
+
+#[test]
+fn an_idempotent_id_is_in_use_only_until_its_request_is_answered() {
+    let world = World::start(1);
+    world.caches[0].set(HostBehavior::Late(300));
+    let fields = |key| {
+        [
+            ("id", "9b1f03aa5c7e2d41"),
+            ("wait", "2500"),
+            ("key", key),
+            ("slice", "0"),
+        ]
+    };
+    let (mut first, mut second) = (world.client(), world.client());
+    first
+        .send(&request_message(1, "page", &fields(KEY), b""))
+        .unwrap();
+    wait_for("the first request is at the cache", || {
+        !world.caches[0].received("want").is_empty()
+    });
+    second
+        .send(&request_message(
+            1,
+            "page",
+            &fields("0000000000000001"),
+            b"",
+        ))
+        .unwrap();
+    assert_eq!(error_text(second.answer().unwrap()), "Lost");
+    assert!(served(&first.answer().unwrap(), KEY));
+    assert_eq!(world.caches[0].received("want").len(), 1);
+    second
+        .send(&request_message(2, "page", &fields(KEY), b""))
+        .unwrap();
     assert!(
-        matches!(second.answer().unwrap(), Answer::Served { .. }),
+        served(&second.answer().unwrap(), KEY),
         "the id may be used again after the first request is answered"
     );
 }
