Limit the log lines that strangers, hosts and planners can cause

Cause: session::serve logs each refusal ("a peer is refused") and each end ("a conversation is over"), accept each error; the other side decides how many there are and needs no key. Ruled out: buffers and tables (memory 6 to 51 MB and steady); `refused` grew with the lines.

The limit on lines about deliveries, which stood by itself, is the same one now.

--- a/crates/flaxdeck-dispatcher/src/protocol/host_connection.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/host_connection.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use flaxdeck_net::budget::{Budget, Permit};
 use flaxdeck_net::link::{Inbound, Outbound};
+use flaxdeck_net::log_limiter::LogLimiter;
 use flaxdeck_net::metrics::{Counter, count};
 use flaxdeck_terms::Names;
 use flaxdeck_wire::lines::{self, Response};
@@ -29,6 +30,8 @@
     pub(super) names: &'a Names,
     /// The memory budget of all responses, in bytes.
     pub(super) response_bytes: &'a Budget,
+    /// Limits the lines about malformed responses.
+    pub(super) malformed_log: &'a LogLimiter,
 }
 
 /// A response, with the permit that its bytes hold.
@@ -85,10 +88,12 @@
                 }
                 Err(malformed) => {
                     count(Counter::hosts_malformed);
-                    log::warn!(
-                        "closing the connection to the host at {}: {malformed}",
-                        self.address
-                    );
+                    if reader.malformed_log.admits() {
+                        log::warn!(
+                            "closing the connection to the host at {}: {malformed}",
+                            self.address
+                        );
+                    }
                     return None;
                 }
             }
--- a/crates/flaxdeck-dispatcher/src/protocol/host_connections.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/host_connections.rs
@@ -11,6 +11,7 @@
 use flaxdeck_net::budget::{Budget, Permit};
 use flaxdeck_net::clock::to_duration;
 use flaxdeck_net::link;
+use flaxdeck_net::log_limiter::LogLimiter;
 use flaxdeck_net::metrics::{Counter, count};
 use flaxdeck_terms::{ConnectionTerms, Names};
 use flaxdeck_wire::frames::AddressedEndpoint;
@@ -32,6 +33,8 @@
     budget: Budget,
     /// The memory budget of all responses, in bytes.
     response_bytes: Rc<Budget>,
+    /// Limits the lines about malformed responses.
+    malformed_log: LogLimiter,
     hosts: RefCell<BTreeMap<HostId, HostEntry>>,
 }
 
@@ -65,6 +68,7 @@
             idle_timeout: to_duration(terms.idle_timeout * IDLE_FRACTION),
             budget: Budget::new(max_connections),
             response_bytes,
+            malformed_log: LogLimiter::default(),
             hosts: RefCell::new(BTreeMap::new()),
         })
     }
@@ -121,6 +125,7 @@
         ResponseReader {
             names: &self.names,
             response_bytes: &self.response_bytes,
+            malformed_log: &self.malformed_log,
         }
     }
 
--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -10,6 +10,7 @@
 use flaxdeck_net::clock::to_duration;
 use flaxdeck_net::link::LINGER;
 use flaxdeck_net::listener::Listener;
+use flaxdeck_net::log_limiter::LogLimiter;
 use flaxdeck_net::metrics::{Counter, count};
 use flaxdeck_wire::ClientRequest;
 use tokio::net::TcpStream;
@@ -44,6 +45,7 @@
 /// Accepts client connections until it is aborted.
 pub(crate) async fn accept_clients(router: Rc<Router>, listener: Listener) {
     let clients = &router.clients;
+    let error_log = LogLimiter::default();
     loop {
         clients.remove_closed();
         let permit = match clients.budget.try_acquire() {
@@ -73,7 +75,9 @@
             }
             Err(error) => {
                 count(Counter::accept_errors);
-                log::warn!("accepting a client connection failed: {error}");
+                if error_log.admits() {
+                    log::warn!("accepting a client connection failed: {error}");
+                }
                 sleep(ACCEPT_RETRY_INTERVAL).await;
             }
         }
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/delivery.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/delivery.rs
@@ -132,7 +132,7 @@
             Ok(applied) => self.apply(router, subscription, after, applied),
             Err(error) => {
                 count(Counter::deliveries_refused);
-                if subscription.should_log_rejection(now) {
+                if self.rejection_log.admits() {
                     log::warn!("a delivery of planner {} is refused: {error:?}", planner.0);
                 }
             }
@@ -184,10 +184,27 @@
         }
     }
 
+    /// Rejects a delivery in which an event or the endpoint list can't be decoded: nothing of it is applied, and the
+    /// position stays the same.
+    fn reject_unreadable(
+        &self,
+        subscription: &EventSubscription,
+        now: Time,
+        position: EventPosition,
+    ) {
+        count(Counter::events_unreadable);
+        subscription.reset_position(now, position);
+        if self.rejection_log.admits() {
+            log::warn!(
+                "a planner's delivery is dropped: an event or the list in it can't be decoded"
+            );
+        }
+    }
+
     fn apply_batch(&self, router: &Router, subscription: &EventSubscription, batch: &Batch) {
         let (now, after, upto) = (router.clock.now(), batch.after, batch.upto);
         let Some(events) = decode_all(&batch.events, &router.names) else {
-            return reject_unreadable(subscription, now, after);
+            return self.reject_unreadable(subscription, now, after);
         };
         let confirmed_at = subscription.confirmed_at();
         let follows = self
@@ -224,7 +241,7 @@
             .filter(Event::is_full_list);
         let group_purges = decode_all(&snapshot.group_purges, &router.names);
         let (Some(list), Some(group_purges)) = (list, group_purges) else {
-            return reject_unreadable(subscription, now, self.position());
+            return self.reject_unreadable(subscription, now, self.position());
         };
         let since = self.numbering.borrow().confirmed_at();
         self.numbering.borrow_mut().accept_snapshot(now, upto);
@@ -266,16 +283,6 @@
     }
 }
 
-/// Rejects a delivery in which an event or the endpoint list can't be decoded: nothing of it is applied, and the
-/// position stays the same.
-fn reject_unreadable(subscription: &EventSubscription, now: Time, position: EventPosition) {
-    count(Counter::events_unreadable);
-    subscription.reset_position(now, position);
-    if subscription.should_log_rejection(now) {
-        log::warn!("a planner's delivery is dropped: an event or the list in it can't be decoded");
-    }
-}
-
 /// Reports purges of groups to the decision engine. They count from now, since the snapshot that holds them may be
 /// older.
 fn apply_group_purges(router: &Router, now: Time, purges: Vec<PositionedEvent>) {
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/guidance.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/guidance.rs
@@ -72,7 +72,9 @@
             }
             Err(error) => {
                 count(Counter::guidance_refused);
-                log::warn!("guidance of planner {} is refused: {error:?}", planner.0);
+                if self.rejection_log.admits() {
+                    log::warn!("guidance of planner {} is refused: {error:?}", planner.0);
+                }
             }
         }
     }
@@ -90,11 +92,13 @@
                 Ok(event) => event,
                 Err(malformed) => {
                     count(Counter::events_unreadable);
-                    log::warn!(
-                        "event {} relayed by planner {} can't be decoded: {malformed}",
-                        relayed.position.number,
-                        planner.0
-                    );
+                    if self.rejection_log.admits() {
+                        log::warn!(
+                            "event {} relayed by planner {} can't be decoded: {malformed}",
+                            relayed.position.number,
+                            planner.0
+                        );
+                    }
                     return;
                 }
             };
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
@@ -43,6 +43,7 @@
 use flaxdeck_control::forwarder::{ForwarderOptions, ForwarderSession};
 use flaxdeck_control::membership::PlannerId;
 use flaxdeck_control::messages::Epoch;
+use flaxdeck_net::log_limiter::LogLimiter;
 use flaxdeck_net::metrics::assert_invariant;
 use flaxdeck_recovery::EventPosition;
 use flaxdeck_recovery::numbering::Numbering;
@@ -95,6 +96,8 @@
     endpoints: EndpointRecords,
     coordinator_clock: CoordinatorClock,
     startup: StartupGate,
+    /// Limits the lines about planners' messages that are rejected.
+    rejection_log: LogLimiter,
     /// Sets how urgent the watch's next connection to the coordinator is.
     expedited_reconnect: Rc<ExpeditedReconnect>,
     /// Notified to have reports sent before the next tick.
@@ -162,6 +165,7 @@
             endpoints: EndpointRecords::default(),
             coordinator_clock: CoordinatorClock::default(),
             startup: StartupGate::new(now, without_contact),
+            rejection_log: LogLimiter::default(),
             expedited_reconnect,
             report_requested: Notify::new(),
             state_writer: OnceCell::new(),
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/subscription.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/subscription.rs
@@ -12,9 +12,6 @@
 
 use super::purges::PurgeTracker;
 
-/// The shortest time between log lines about rejected deliveries.
-const REJECTION_LOG_INTERVAL: Span = Span::from_ms(1_000);
-
 /// The options of a subscription, from the operator's file.
 #[derive(Clone, Copy, Debug)]
 pub struct SubscriptionOptions {
@@ -43,7 +40,6 @@
     coordinator_need_changed: Notify,
     /// Notified when the time of the next due action may be another.
     schedule_changed: Notify,
-    rejection_logged: Cell<Option<Time>>,
 }
 
 impl EventSubscription {
@@ -67,7 +63,6 @@
             coordinator_needed: Cell::new(false),
             coordinator_need_changed: Notify::new(),
             schedule_changed: Notify::new(),
-            rejection_logged: Cell::new(None),
         }
     }
 
@@ -181,18 +176,6 @@
         !self.knows_unsettled.replace(true) && now.since(self.started) < self.purge_settles
     }
 
-    /// Whether a rejected delivery is to be logged now; false if one was logged within [`REJECTION_LOG_INTERVAL`].
-    pub(super) fn should_log_rejection(&self, now: Time) -> bool {
-        let logs = self
-            .rejection_logged
-            .get()
-            .is_none_or(|logged| now.since(logged) >= REJECTION_LOG_INTERVAL);
-        if logs {
-            self.rejection_logged.set(Some(now));
-        }
-        logs
-    }
-
     /// Returns the followed planner, the number of unsettled purges and the counters of deliveries, for the log.
     pub(super) fn status(&self) -> String {
         let subscriber = self.subscriber.borrow();
--- a/crates/flaxdeck-emulator/src/fleet.rs
+++ b/crates/flaxdeck-emulator/src/fleet.rs
@@ -193,6 +193,11 @@
         forwarders.map(|forwarder| forwarder.address).collect()
     }
 
+    /// Returns the addresses at which the planners listen for forwarders.
+    pub fn planner_addresses(&self) -> &[SocketAddr] {
+        &self.planner_addresses
+    }
+
     /// Returns all lines that the programs have logged so far.
     pub fn lines(&self) -> Vec<String> {
         self.lines.all()
--- a/crates/flaxdeck-net/src/lib.rs
+++ b/crates/flaxdeck-net/src/lib.rs
@@ -8,6 +8,7 @@
 //! | [`budget`] | limits on connections, requests and bytes of a process, and permits for them |
 //! | [`eviction`] | selects the client connections to close when new ones need capacity |
 //! | [`clock`] | monotonic Unix time, its conversion to the runtime's instants, and the time since boot |
+//! | [`log_limiter`] | limits on the lines that others can cause in the log |
 //! | [`metrics`], [`counters_file`] | counters of a thread, written to the log or to a file |
 //!
 //! A permit is acquired before memory or a descriptor is used, and its units are released when it is dropped:
@@ -28,4 +29,5 @@
 pub mod eviction;
 pub mod link;
 pub mod listener;
+pub mod log_limiter;
 pub mod metrics;
--- a/crates/flaxdeck-net/src/metrics.rs
+++ b/crates/flaxdeck-net/src/metrics.rs
@@ -134,6 +134,8 @@
     reloads_refused,
     /// Log lines dropped as the queue of the logger was full because nobody read the log.
     log_lines_lost,
+    /// Log lines not written as too many of their kind were due.
+    log_lines_suppressed,
     /// Violated invariants.
     must_not_happen,
     /// Messages received: the coordinator's watch.
--- a/crates/flaxdeck-planner/src/server.rs
+++ b/crates/flaxdeck-planner/src/server.rs
@@ -11,6 +11,7 @@
 use flaxdeck_net::budget::Budget;
 use flaxdeck_net::clock::Clock;
 use flaxdeck_net::listener::Listener;
+use flaxdeck_net::log_limiter::LogLimiter;
 use flaxdeck_net::{counters_file, metrics};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::JoinSet;
@@ -79,6 +80,7 @@
 async fn accept(state: Rc<State>, key: Key, listener: Listener) {
     let budget = Budget::new(MAX_CONNECTIONS);
     let mut sessions = JoinSet::new();
+    let error_log = LogLimiter::default();
     loop {
         let permit = budget.acquire_many(1).await;
         // Removes ended sessions, so that the set does not grow.
@@ -88,7 +90,9 @@
                 sessions.spawn_local(session::serve(state.clone(), key.clone(), stream, permit));
             }
             Err(error) => {
-                tracing::warn!(%error, "accept");
+                if error_log.admits() {
+                    tracing::warn!(%error, "accept");
+                }
                 sleep(ACCEPT_PAUSE).await;
             }
         }
--- a/crates/flaxdeck-planner/src/session.rs
+++ b/crates/flaxdeck-planner/src/session.rs
@@ -41,11 +41,17 @@
         .peer_addr()
         .map_or("unknown address".to_owned(), |peer| peer.to_string());
     let end = run_session(&state, &key, stream).await;
+    log_end(&state, &peer, &end);
+}
+
+fn log_end(state: &State, peer: &str, end: &SessionEnd) {
     let why = end.to_string();
     if end.is_refusal() {
         let refused = state.count_refused();
-        tracing::warn!(peer, why, refused, "a peer is refused");
-    } else {
+        if state.refusal_log.admits() {
+            tracing::warn!(peer, why, refused, "a peer is refused");
+        }
+    } else if state.session_log.admits() {
         tracing::info!(peer, why, "a conversation is over");
     }
 }
--- a/crates/flaxdeck-planner/src/state.rs
+++ b/crates/flaxdeck-planner/src/state.rs
@@ -14,6 +14,7 @@
 use flaxdeck_distribution::SubscriberId;
 use flaxdeck_distribution::messages::Subscription;
 use flaxdeck_net::clock::Clock;
+use flaxdeck_net::log_limiter::LogLimiter;
 use flaxdeck_recovery::EventPosition;
 use flaxdeck_wire::frames::AddressedEndpoint;
 use tokio::sync::Notify;
@@ -53,6 +54,10 @@
     next_connection_number: Cell<u64>,
     /// Number of refused peers, for the log.
     refused: Cell<u64>,
+    /// Limits the lines about refused peers, of which strangers can cause any number.
+    pub(crate) refusal_log: LogLimiter,
+    /// Limits the lines about ended sessions, of which strangers can cause any number.
+    pub(crate) session_log: LogLimiter,
 }
 
 impl State {
@@ -67,6 +72,8 @@
             schedule_changed: Notify::new(),
             next_connection_number: Cell::new(0),
             refused: Cell::new(0),
+            refusal_log: LogLimiter::default(),
+            session_log: LogLimiter::default(),
         }
     }
 
