Send no request to the old process of a host that has been replaced

Here a host is listed under the same id with a later start while its old process still holds connections, and the old process gets requests: on idle connections, on one that it releases by confirming a cancellation, and on one that comes up after the list had named another address.

Cause: HostConnections keeps connections by host id and compared addresses only (update_hosts, keep_idle), so a later start at the same address changed nothing; HostConnections::attempt asked the engine whether the host takes requests, not whether the connection that had come up leads to it. Ruled out: late news, as the attempts start behind the line "told: s- InService" of the new start. Another id at the address, in both orders of the list's changes, held before for idle connections and those that wait for a confirmation: the entry of the gone id takes them along.

Change: a connection belongs to a HostProcess, an address and a start. Idle connections of another process are dropped, none is kept, and an attempt whose connection does not lead to the listed process is not written and decided anew.

--- a/crates/flaxdeck-dispatcher/src/protocol/attempt.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/attempt.rs
@@ -59,11 +59,12 @@
             Ok(connection) => connection,
             Err(outcome) => return ReceivedReply::without_body(outcome),
         };
-        let Some(cleared) = clear() else {
+        let still_listed = self.is_current(host, &connection);
+        let Some(cleared) = clear().filter(|_| still_listed) else {
             count(Counter::superseded);
             let id = String::from_utf8_lossy(&request.id);
             log::debug!(
-                "request {id} is not sent to host {}: no longer wanted when its connection was ready",
+                "request {id} is not sent to host {}: no longer wanted there when its connection was ready",
                 host.0
             );
             self.keep_idle(host, connection);
--- a/crates/flaxdeck-dispatcher/src/protocol/host_connection.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/host_connection.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use flaxdeck::Time;
 use flaxdeck_net::budget::{Budget, Permit};
 use flaxdeck_net::link::{Inbound, Outbound};
 use flaxdeck_net::log_limiter::LogLimiter;
@@ -12,10 +13,19 @@
 use flaxdeck_wire::{HostReply, Parsed};
 use tokio::time::Instant;
 
+/// The process of a host from one start to the next. Another process may have the same address.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct HostProcess {
+    pub(super) address: SocketAddr,
+    /// Its start as the endpoint list tells it; none if that is long past.
+    pub(super) started: Option<Time>,
+}
+
 /// A connection to a host. An attempt owns it while in flight, [`super::host_connections::HostConnections`] while it is
 /// idle. Dropping it closes it at once, as nothing has to be written to a host before.
 pub(super) struct HostConnection {
-    pub(super) address: SocketAddr,
+    /// The process that was listed when the connection was opened.
+    pub(super) process: HostProcess,
     pub(super) inbound: Inbound,
     pub(super) outbound: Outbound,
     /// When it was opened, or last became idle.
@@ -91,7 +101,7 @@
                     if reader.malformed_log.admits() {
                         log::warn!(
                             "closing the connection to the host at {}: {malformed}",
-                            self.address
+                            self.process.address
                         );
                     }
                     return None;
--- a/crates/flaxdeck-dispatcher/src/protocol/host_connections.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/host_connections.rs
@@ -3,7 +3,6 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,7 +16,7 @@
 use flaxdeck_wire::frames::AddressedEndpoint;
 use tokio::time::{Instant, timeout_at};
 
-use super::host_connection::{HostConnection, ResponseReader};
+use super::host_connection::{HostConnection, HostProcess, ResponseReader};
 
 /// The fraction of the hosts' idle timeout after which this side closes an idle connection, so that no request is
 /// written while the host closes it.
@@ -40,15 +39,15 @@
 
 /// A host of the endpoint list.
 struct HostEntry {
-    address: SocketAddr,
-    /// The idle connections, the longest idle first.
+    process: HostProcess,
+    /// The idle connections to that process, the longest idle first.
     idle: Vec<HostConnection>,
 }
 
 impl HostEntry {
-    fn new(address: SocketAddr) -> HostEntry {
+    fn new(process: HostProcess) -> HostEntry {
         HostEntry {
-            address,
+            process,
             idle: Vec::new(),
         }
     }
@@ -74,7 +73,9 @@
     }
 
     /// Applies an endpoint list; a full list also removes the hosts that are not in it. Closes the idle connections of
-    /// hosts that are removed or have another address.
+    /// hosts that are removed or have another process.
+    ///
+    /// Guards against requests to a process that another one has replaced: its connections may still be open.
     pub(crate) fn update_hosts(&self, kind: ListKind, endpoints: &[AddressedEndpoint]) {
         let mut hosts = self.hosts.borrow_mut();
         let is_listed = |host: &HostId| {
@@ -88,11 +89,15 @@
                 hosts.remove(&listed.host);
                 continue;
             }
+            let process = HostProcess {
+                address: *address,
+                started: listed.started,
+            };
             let entry = hosts
                 .entry(listed.host.clone())
-                .or_insert_with(|| HostEntry::new(*address));
-            if entry.address != *address {
-                *entry = HostEntry::new(*address);
+                .or_insert_with(|| HostEntry::new(process));
+            if entry.process != process {
+                *entry = HostEntry::new(process);
             }
         }
     }
@@ -141,14 +146,19 @@
         None
     }
 
-    /// Keeps a connection for a later attempt, unless its host was removed or got another address meanwhile.
+    /// Whether a connection leads to the process that is listed for the host now.
+    pub(super) fn is_current(&self, host: &HostId, connection: &HostConnection) -> bool {
+        self.process(host) == Some(connection.process)
+    }
+
+    /// Keeps a connection for a later attempt, unless its host was removed or got another process meanwhile.
     pub(super) fn keep_idle(&self, host: &HostId, mut connection: HostConnection) {
         connection.idle_since = Instant::now();
         connection.was_idle = true;
         connection.inbound.release_buffer();
         let mut hosts = self.hosts.borrow_mut();
         if let Some(entry) = hosts.get_mut(host)
-            && entry.address == connection.address
+            && entry.process == connection.process
         {
             entry.idle.push(connection);
         }
@@ -169,7 +179,8 @@
         host: &HostId,
         sent_by: Instant,
     ) -> Result<HostConnection, AttemptOutcome> {
-        let address = self.address(host).ok_or(AttemptOutcome::NotSent)?;
+        let process = self.process(host).ok_or(AttemptOutcome::NotSent)?;
+        let address = process.address;
         let Some(permit) = self.acquire_permit() else {
             count(Counter::hosts_no_room);
             return Err(AttemptOutcome::NotSent);
@@ -179,7 +190,7 @@
             Ok(Ok((inbound, outbound))) => {
                 count(Counter::hosts_connected);
                 Ok(HostConnection {
-                    address,
+                    process,
                     inbound,
                     outbound,
                     idle_since: Instant::now(),
@@ -205,8 +216,8 @@
         }
     }
 
-    fn address(&self, host: &HostId) -> Option<SocketAddr> {
-        self.hosts.borrow().get(host).map(|entry| entry.address)
+    fn process(&self, host: &HostId) -> Option<HostProcess> {
+        self.hosts.borrow().get(host).map(|entry| entry.process)
     }
 
     /// Acquires a permit for one more connection. If none is free, closes the longest idle connection of all hosts.
