Leave room in the history of ids for others when one client floods it

Cause: RunHistory::has_room_for knew one limit for all. The flood filled the 33,554 entries in 5 s, none of which may be dropped in its first 30 s, so everybody's requests of such classes were rejected. A request with an id that may have run was rejected then as well, which promises that it has not.

Change: from half of the capacity on, requests of a connection that has sent over a sixteenth of it in 30 s are rejected; others use the second half. Ids over 30 s old make room from half of the capacity on. A request with an id that may have run fails instead of being rejected.

--- a/crates/flaxdeck-dispatcher/src/routing/clients.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/clients.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use flaxdeck::RequestId;
+use flaxdeck::run_history::ClientUse;
 use flaxdeck_net::budget::Permit;
 use flaxdeck_net::clock::to_duration;
 use flaxdeck_net::link::LINGER;
@@ -39,6 +40,8 @@
     quiet_since: Cell<Instant>,
     /// Whether it has ever sent a complete message.
     has_sent: Cell<bool>,
+    /// How much of the history of requests it has used.
+    run_history_use: RefCell<ClientUse>,
     handle: ConnectionHandle,
 }
 
@@ -95,6 +98,7 @@
         requests: RefCell::default(),
         quiet_since: Cell::new(Instant::now()),
         has_sent: Cell::new(false),
+        run_history_use: RefCell::default(),
         handle: connection.handle(),
     });
     if router.clients.is_shutting_down() {
@@ -253,13 +257,20 @@
             && !connection.is_stalled();
         let slot = router.slots.try_acquire();
         let bytes = router.request_bytes.try_acquire_many(request.body.len());
-        let has_room = is_within_limit && slot.is_some() && router.can_remember(request.class);
-        match bytes.filter(|_| has_room) {
+        let has_room = is_within_limit && slot.is_some() && bytes.is_some();
+        let mut history_use = self.run_history_use.borrow_mut();
+        let is_admitted = has_room && router.can_remember(request.class, &mut history_use);
+        match bytes.filter(|_| is_admitted) {
             Some(bytes) => {
                 let timeout = to_duration(request.timeout);
                 let responder = connection.responder(call, slot, timeout);
                 requests.insert(call, router.start_request(request, responder, bytes));
             }
+            // A rejection would promise that the request has not run.
+            None if router.earlier_run(&request).is_some() => {
+                count(Counter::requests_repeated);
+                connection.answer_directly(call, DirectAnswer::Failed);
+            }
             None => reject_for_capacity(router, connection, call),
         }
     }
--- a/crates/flaxdeck-dispatcher/src/routing/requests.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/requests.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use flaxdeck::polled::{Input, Step};
+use flaxdeck::run_history::ClientUse;
 use flaxdeck::{
     Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, ClassId, Clearance, HostId, PossibleRun,
     Request, RequestId, Span, Time,
@@ -59,10 +60,16 @@
 }
 
 impl Router {
-    /// Whether a request of that class may be sent: it could be remembered as one that has run, or need not be.
-    pub(super) fn can_remember(&self, class: ClassId) -> bool {
+    /// Whether a client's request of that class may be sent: it could be remembered as one that has run, or need not be.
+    pub(super) fn can_remember(&self, class: ClassId, client: &mut ClientUse) -> bool {
         let now = self.clock.now();
-        self.run_history.borrow_mut().has_room_for(now, class)
+        self.run_history.borrow_mut().admit(now, class, client)
+    }
+
+    /// Returns the run of an earlier request with the same id, if there may have been one that must not be repeated.
+    pub(super) fn earlier_run(&self, request: &ClientRequest) -> Option<PossibleRun> {
+        let history = self.run_history.borrow();
+        history.earlier_run(self.clock.now(), request.id_number())
     }
 
     /// Starts a request; its task gives the answer.
@@ -90,11 +97,7 @@
         if let Some(client) = self.control_client.get() {
             client.report_purge_for_request(self, client_request.object);
         }
-        let earlier_run = self
-            .run_history
-            .borrow()
-            .earlier_run(self.clock.now(), client_request.id_number());
-        self.report(match earlier_run {
+        self.report(match self.earlier_run(&client_request) {
             Some(run) => {
                 count(Counter::requests_repeated);
                 Input::RequestRepeated(request, run)
--- a/crates/flaxdeck-dispatcher/tests/repeated_ids.rs
+++ b/crates/flaxdeck-dispatcher/tests/repeated_ids.rs
@@ -133,6 +133,29 @@
     assert_eq!(attempts(&world, 1), 1);
 }
 
+// Guards against one client that sends at full speed until the requests of others are rejected.
+#[test]
+fn a_client_that_floods_with_ids_leaves_room_for_those_of_others() {
+    // At 2 MB the history has room for 2097 ids.
+    let world = World::with_config(2, |config| config["limits"]["memory_mb"] = 2.into());
+    let mut flooder = world.client();
+    let mut rejected = 0;
+    for number in 1..2400 {
+        flooder.send(&message(number, "submit", number)).unwrap();
+        rejected += u32::from(error_text(flooder.answer().unwrap()) == "Backoff");
+    }
+    assert!(rejected > 0, "the history is not half full");
+    let answer = send(&world, "submit", 3000).answer().unwrap();
+    assert!(is_served(&answer), "{answer:?}");
+    flooder.send(&message(2400, "submit", 1)).unwrap();
+    let answer = flooder.answer().unwrap();
+    assert_eq!(
+        error_text(answer),
+        "Lost",
+        "an id that has run is not rejected as harmless"
+    );
+}
+
 // Guards against refusing a request that crossed the end of a connection, or was rejected, and comes again.
 #[test]
 fn an_id_of_which_nothing_ran_can_be_used_again() {
--- a/src/run_history.rs
+++ b/src/run_history.rs
@@ -1,8 +1,9 @@
 //! The client ids of requests that may have run and must not run a second time.
 //!
 //! Clients give every request a new id, so an id that comes again is a repeat of the request that had it first. An id
-//! is remembered for [`MAX_AGE`]. While the history is full, the oldest ids are dropped, but none before [`MIN_AGE`]:
-//! until then no new request of such a class may be sent, so that other ids can't displace one that has run.
+//! is remembered for [`MAX_AGE`]. While the history is half full, ids older than [`MIN_AGE`] are dropped. No younger one
+//! is, so that other ids can't displace one that has run; instead new requests of such classes are not accepted: from
+//! half of the capacity on those of clients that have used up their share, from all of it on any.
 
 use std::collections::{HashMap, VecDeque};
 
@@ -13,6 +14,30 @@
 /// How long an id is remembered at least: several times the longest deadline, within which clients repeat requests.
 pub const MIN_AGE: Span = Span::from_ms(30_000);
 
+/// The part of the capacity that one client may use within [`MIN_AGE`] while the history is half full.
+const CLIENT_SHARE: f64 = 1.0 / 16.0;
+
+/// How many requests that must not run a second time one client has sent lately.
+#[derive(Default)]
+pub struct ClientUse {
+    interval_start: Option<Time>,
+    requests: usize,
+}
+
+impl ClientUse {
+    /// Returns the requests in the current interval of [`MIN_AGE`].
+    fn requests(&mut self, now: Time) -> usize {
+        if self
+            .interval_start
+            .is_none_or(|start| now.since(start) >= MIN_AGE)
+        {
+            self.interval_start = Some(now);
+            self.requests = 0;
+        }
+        self.requests
+    }
+}
+
 /// Remembers which requests may have run, by the ids that clients gave them.
 pub struct RunHistory {
     /// By class, whether its requests must not run a second time.
@@ -50,13 +75,24 @@
         self.runs.is_empty()
     }
 
-    /// Whether a new request of that class may be sent: it could be remembered afterwards, or need not be.
-    pub fn has_room_for(&mut self, now: Time, class: ClassId) -> bool {
+    /// Decides whether a client's new request of that class may be sent: it could be remembered afterwards, or need not
+    /// be. Counts it as one of the client's requests if so.
+    ///
+    /// Guards against one client that floods the history, so that requests of others are rejected.
+    pub fn admit(&mut self, now: Time, class: ClassId, client: &mut ClientUse) -> bool {
         if !self.remembers(class) {
             return true;
         }
         self.drop_oldest(now);
-        self.runs.len() < self.capacity
+        let is_within_share = (client.requests(now) as f64) < self.capacity as f64 * CLIENT_SHARE;
+        let limit = if is_within_share {
+            self.capacity
+        } else {
+            self.half_capacity()
+        };
+        let is_admitted = self.runs.len() < limit;
+        client.requests += usize::from(is_admitted);
+        is_admitted
     }
 
     /// Records that a request may have run. The first run of an id stays the recorded one.
@@ -77,10 +113,14 @@
         self.is_remembered[class.0]
     }
 
-    /// Drops the oldest ids that are remembered for too long, or for long enough while the history is full.
+    fn half_capacity(&self) -> usize {
+        self.capacity.div_ceil(2)
+    }
+
+    /// Drops the oldest ids that are remembered for too long, or for long enough while the history is half full.
     fn drop_oldest(&mut self, now: Time) {
         while let Some(id) = self.oldest_first.front() {
-            let max_age = if self.runs.len() < self.capacity {
+            let max_age = if self.runs.len() < self.half_capacity() {
                 MAX_AGE
             } else {
                 MIN_AGE
--- a/tests/run_history.rs
+++ b/tests/run_history.rs
@@ -3,7 +3,7 @@
 mod fake;
 
 use fake::{host, terms};
-use flaxdeck::run_history::{MAX_AGE, MIN_AGE, RunHistory};
+use flaxdeck::run_history::{ClientUse, MAX_AGE, MIN_AGE, RunHistory};
 use flaxdeck::{ClassId, ClientRequestId, PossibleRun, Span, Time};
 
 /// The classes of [`terms`].
@@ -24,15 +24,30 @@
     }
 }
 
-/// Records runs of new requests at `sent` until the history is full.
+/// Whether a request of a new client is admitted.
+fn has_room_for(history: &mut RunHistory, now: Time, class: ClassId) -> bool {
+    history.admit(now, class, &mut ClientUse::default())
+}
+
+/// Records runs of new requests at `sent`, each of another client, until the history is full.
 fn fill(history: &mut RunHistory, sent: Time) {
     let mut number = 1_000_000;
-    while history.has_room_for(sent, AT_MOST_ONCE) {
+    while has_room_for(history, sent, AT_MOST_ONCE) {
         number += 1;
         history.record(AT_MOST_ONCE, ClientRequestId(number), run_at(sent));
     }
 }
 
+/// Records runs of new requests of one client at `sent` until it is refused; returns how many there were.
+fn flood(history: &mut RunHistory, sent: Time, client: &mut ClientUse) -> usize {
+    let before = history.len();
+    while history.admit(sent, AT_MOST_ONCE, client) {
+        let number = 2_000_000 + history.len() as u64;
+        history.record(AT_MOST_ONCE, ClientRequestId(number), run_at(sent));
+    }
+    history.len() - before
+}
+
 // Guards against ids that are forgotten with the request: the next request with the same id ran a second time.
 #[test]
 fn a_run_is_remembered_unless_its_class_is_idempotent() {
@@ -64,9 +79,9 @@
     history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
     fill(&mut history, at(10));
     let almost = at(0) + MIN_AGE - Span::from_ms(1);
-    assert!(!history.has_room_for(almost, AT_MOST_ONCE));
-    assert!(!history.has_room_for(almost, DEDUPLICATED));
-    assert!(history.has_room_for(almost, IDEMPOTENT));
+    assert!(!has_room_for(&mut history, almost, AT_MOST_ONCE));
+    assert!(!has_room_for(&mut history, almost, DEDUPLICATED));
+    assert!(has_room_for(&mut history, almost, IDEMPOTENT));
     assert!(history.earlier_run(almost, ClientRequestId(1)).is_some());
     assert_eq!(history.len(), CAPACITY);
 }
@@ -76,21 +91,41 @@
     let mut history = RunHistory::new(&terms(), CAPACITY);
     history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
     fill(&mut history, at(10));
-    assert!(history.has_room_for(at(0) + MIN_AGE, AT_MOST_ONCE));
+    assert!(has_room_for(&mut history, at(0) + MIN_AGE, AT_MOST_ONCE));
     assert_eq!(history.len(), CAPACITY - 1);
     let now = at(0) + MIN_AGE;
     assert_eq!(history.earlier_run(now, ClientRequestId(1)), None);
 }
 
+// Guards against one client that sends at full speed until the requests of others are rejected.
+#[test]
+fn a_client_that_floods_leaves_half_of_the_history_to_others() {
+    let mut history = RunHistory::new(&terms(), CAPACITY);
+    let mut flooder = ClientUse::default();
+    assert_eq!(flood(&mut history, at(0), &mut flooder), CAPACITY / 2);
+    assert!(!history.admit(at(10), AT_MOST_ONCE, &mut flooder));
+    assert!(!history.admit(at(10), DEDUPLICATED, &mut flooder));
+    assert!(history.admit(at(10), IDEMPOTENT, &mut flooder));
+    let mut other = ClientUse::default();
+    let share = flood(&mut history, at(10), &mut other);
+    assert!((1..CAPACITY / 8).contains(&share), "{share}");
+    assert!(has_room_for(&mut history, at(10), AT_MOST_ONCE));
+    let later = at(20) + MIN_AGE;
+    assert!(
+        history.admit(later, AT_MOST_ONCE, &mut flooder),
+        "its share is new"
+    );
+}
+
 // Guards against memory that grows for as long as the process runs.
 #[test]
 fn runs_are_forgotten_in_time() {
     let mut history = RunHistory::new(&terms(), CAPACITY);
     history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
     let almost = at(0) + MAX_AGE - Span::from_ms(1);
-    assert!(history.has_room_for(almost, AT_MOST_ONCE));
+    assert!(has_room_for(&mut history, almost, AT_MOST_ONCE));
     assert!(history.earlier_run(almost, ClientRequestId(1)).is_some());
-    assert!(history.has_room_for(at(0) + MAX_AGE, AT_MOST_ONCE));
+    assert!(has_room_for(&mut history, at(0) + MAX_AGE, AT_MOST_ONCE));
     assert!(history.is_empty());
 }
 
@@ -99,7 +134,7 @@
     let mut history = RunHistory::new(&terms(), CAPACITY);
     fill(&mut history, at(0));
     history.resize(CAPACITY / 2);
-    assert!(!history.has_room_for(at(10), AT_MOST_ONCE));
-    assert!(history.has_room_for(at(0) + MIN_AGE, AT_MOST_ONCE));
+    assert!(!has_room_for(&mut history, at(10), AT_MOST_ONCE));
+    assert!(has_room_for(&mut history, at(0) + MIN_AGE, AT_MOST_ONCE));
     assert!(history.len() < CAPACITY / 2);
 }
