--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -11,6 +11,7 @@
 //! be called at the end, since the router's tasks hold references to it.
 
 mod answer_sizes;
+mod attempt_task;
 mod client_connections;
 mod clients;
 mod control_client;
--- a/crates/flaxdeck-dispatcher/src/routing/requests.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/requests.rs
@@ -6,19 +6,19 @@
 use flaxdeck::polled::{Input, Step};
 use flaxdeck::run_history::ClientUse;
 use flaxdeck::{
-    Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, ClassId, Clearance, HostId, PossibleRun,
-    Request, RequestId, Span, Time,
+    Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, ClassId, HostId, PossibleRun, Request,
+    RequestId, Span, Time,
 };
 use flaxdeck_net::budget::Permit;
 use flaxdeck_net::clock::to_duration;
 use flaxdeck_net::metrics::{Counter, assert_invariant, count};
-use flaxdeck_wire::{Answer, AttemptOptions, ClientRequest, HostReply};
+use flaxdeck_wire::{Answer, ClientRequest, HostReply};
 use tokio::task::{AbortHandle, JoinSet};
 use tokio::time::Instant;
 
 use super::Router;
+use super::attempt_task::{AttemptTask, EndedAttempt};
 use super::request_table::OpenRequest;
-use crate::protocol::attempt::ClearedAttempt;
 use crate::protocol::client_connection::Responder;
 
 /// An attempt that has not ended. Its task is aborted when the attempt is cancelled.
@@ -33,14 +33,6 @@
     task: AbortHandle,
 }
 
-/// The result of an attempt's task.
-struct EndedAttempt {
-    index: AttemptIndex,
-    reply: HostReply,
-    /// The memory that the answer's body holds.
-    bytes: Option<Permit>,
-}
-
 /// Serves one request: executes the decision engine's steps until the request is answered, or its client has left, and
 /// all attempts have ended. It owns the request's attempts.
 struct RequestTask {
@@ -350,60 +342,3 @@
         }));
     }
 }
-
-/// Carries out one attempt: waits for a connection to the host, sends the request and reads the reply.
-struct AttemptTask {
-    router: Rc<Router>,
-    request: RequestId,
-    index: AttemptIndex,
-    client_request: Rc<ClientRequest>,
-    attempt: Attempt,
-    until: Instant,
-    /// Set just before the first byte is written to the host.
-    is_write_started: Rc<Cell<bool>>,
-}
-
-impl AttemptTask {
-    async fn run(self) -> EndedAttempt {
-        let clear = || self.clear();
-        let received = self
-            .router
-            .host_connections
-            .attempt(
-                &self.attempt.host,
-                &self.client_request,
-                self.until,
-                clear,
-                &self.is_write_started,
-            )
-            .await;
-        EndedAttempt {
-            index: self.index,
-            reply: received.host_reply,
-            bytes: received.permit,
-        }
-    }
-
-    /// Returns the options of the attempt if it is sent now, and by when its last byte has to be written; none if it
-    /// may not be sent any more.
-    fn clear(&self) -> Option<ClearedAttempt<'_>> {
-        let Clearance { oldest, sent_by } = self.router.clear_attempt(self.request, self.index)?;
-        let remaining = self.until.checked_duration_since(Instant::now())?;
-        let attempt = &self.attempt;
-        let options = AttemptOptions {
-            class: &self.router.names.classes[self.client_request.class.0],
-            timeout: Span::of_ms(remaining.as_secs_f64() * 1000.0),
-            source: Some(&attempt.source).filter(|source| **source != attempt.host),
-            retention_rank: attempt.keep,
-            new_connection: attempt.fresh,
-            max_age: oldest,
-            join: attempt.join,
-            only_cached: attempt.only_held,
-            revalidate: attempt.renew,
-        };
-        Some(ClearedAttempt {
-            options,
-            sent_by: self.until.min(self.router.clock.instant(sent_by)),
-        })
-    }
-}
--- a/crates/flaxdeck-dispatcher/tests/requests.rs
+++ b/crates/flaxdeck-dispatcher/tests/requests.rs
@@ -180,21 +180,28 @@
     assert_eq!(world.origin.received("want").len(), 1);
 }
 
+/// Returns the fields of a request for that object, always under the same id.
+fn fields_with_same_id(key: &str) -> [(&str, &str); 4] {
+    [
+        ("id", "9b1f03aa5c7e2d41"),
+        ("wait", "2500"),
+        ("key", key),
+        ("slice", "0"),
+    ]
+}
+
 #[test]
 fn a_request_under_the_id_of_an_open_one_reaches_no_host() {
     let world = World::start(1);
     world.origin.set(HostBehavior::Late(300));
-    let fields = |key| {
-        [
-            ("id", "9b1f03aa5c7e2d41"),
-            ("wait", "2500"),
-            ("key", key),
-            ("slice", "0"),
-        ]
-    };
     let (mut first, mut second) = (world.client(), world.client());
     first
-        .send(&request_message(1, "submit", &fields(KEY), b"a form"))
+        .send(&request_message(
+            1,
+            "submit",
+            &fields_with_same_id(KEY),
+            b"a form",
+        ))
         .unwrap();
     wait_for("the first request is at the origin", || {
         !world.origin.received("want").is_empty()
@@ -203,7 +210,7 @@
         .send(&request_message(
             1,
             "submit",
-            &fields("0000000000000001"),
+            &fields_with_same_id("0000000000000001"),
             b"another",
         ))
         .unwrap();
@@ -211,7 +218,12 @@
     assert!(matches!(first.answer().unwrap(), Answer::Served { body, .. } if body == b"a form"));
     assert_eq!(world.origin.received("want").len(), 1);
     second
-        .send(&request_message(2, "submit", &fields(KEY), b"a form"))
+        .send(&request_message(
+            2,
+            "submit",
+            &fields_with_same_id(KEY),
+            b"a form",
+        ))
         .unwrap();
     assert_eq!(
         error_text(second.answer().unwrap()),
@@ -225,17 +237,9 @@
 fn an_idempotent_id_is_in_use_only_until_its_request_is_answered() {
     let world = World::start(1);
     world.caches[0].set(HostBehavior::Late(300));
-    let fields = |key| {
-        [
-            ("id", "9b1f03aa5c7e2d41"),
-            ("wait", "2500"),
-            ("key", key),
-            ("slice", "0"),
-        ]
-    };
     let (mut first, mut second) = (world.client(), world.client());
     first
-        .send(&request_message(1, "page", &fields(KEY), b""))
+        .send(&request_message(1, "page", &fields_with_same_id(KEY), b""))
         .unwrap();
     wait_for("the first request is at the cache", || {
         !world.caches[0].received("want").is_empty()
@@ -244,7 +248,7 @@
         .send(&request_message(
             1,
             "page",
-            &fields("0000000000000001"),
+            &fields_with_same_id("0000000000000001"),
             b"",
         ))
         .unwrap();
@@ -252,7 +256,7 @@
     assert!(served(&first.answer().unwrap(), KEY));
     assert_eq!(world.caches[0].received("want").len(), 1);
     second
-        .send(&request_message(2, "page", &fields(KEY), b""))
+        .send(&request_message(2, "page", &fields_with_same_id(KEY), b""))
         .unwrap();
     assert!(
         served(&second.answer().unwrap(), KEY),
