--- a/crates/flaxdeck-dispatcher/src/protocol/attempt.rs
+++ b/crates/flaxdeck-dispatcher/src/protocol/attempt.rs
@@ -59,8 +59,8 @@
             Ok(connection) => connection,
             Err(outcome) => return ReceivedReply::without_body(outcome),
         };
-        let still_listed = self.is_current(host, &connection);
-        let Some(cleared) = clear().filter(|_| still_listed) else {
+        let is_current = self.is_current(host, &connection);
+        let Some(cleared) = is_current.then(&clear).flatten() else {
             count(Counter::superseded);
             let id = String::from_utf8_lossy(&request.id);
             log::debug!(
--- a/crates/flaxdeck-dispatcher/src/routing/requests.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/requests.rs
@@ -7,7 +7,7 @@
 use flaxdeck::run_history::ClientUse;
 use flaxdeck::{
     Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, ClassId, HostId, PossibleRun, Request,
-    RequestId, Span, Time,
+    RequestId, Time,
 };
 use flaxdeck_net::budget::Permit;
 use flaxdeck_net::clock::to_duration;
@@ -27,7 +27,6 @@
     host: HostId,
     /// When the decision engine sent it.
     sent: Time,
-    started: Instant,
     /// Set just before the first byte is written to the host.
     is_write_started: Rc<Cell<bool>>,
     task: AbortHandle,
@@ -61,7 +60,7 @@
     /// Returns the run of an earlier request with the same id, if there may have been one that must not be repeated.
     pub(super) fn earlier_run(&self, request: &ClientRequest) -> Option<PossibleRun> {
         let history = self.run_history.borrow();
-        history.earlier_run(self.clock.now(), request.id_number())
+        history.earlier_run(self.clock.now(), request.class, request.id_number())
     }
 
     /// Starts a request; its task gives the answer.
@@ -239,7 +238,6 @@
             index,
             host,
             sent: self.router.clock.now(),
-            started: Instant::now(),
             is_write_started,
             task,
         });
@@ -332,7 +330,7 @@
             index: attempt.index,
             host: attempt.host,
             outcome: reply.outcome,
-            took: Span::of_ms(attempt.started.elapsed().as_secs_f64() * 1000.0),
+            took: self.router.clock.now().since(attempt.sent),
             closed: self.responder.is_none(),
             fill: reply.fill,
             waited: reply.waited,
--- a/crates/flaxdeck-wire/tests/recorded_bytes.rs
+++ b/crates/flaxdeck-wire/tests/recorded_bytes.rs
@@ -8,6 +8,7 @@
 )]
 
 mod names;
+mod request_example;
 
 use bytes::{Bytes, BytesMut};
 use flaxdeck::{
@@ -20,6 +21,7 @@
 use flaxdeck_wire::rpc::{self, ClientMessage};
 use flaxdeck_wire::{Answer, ClientRequest, HostReply, Parsed, frames};
 use names::names;
+use request_example::FIELDS;
 
 use flaxdeck_toy::request_message;
 
@@ -294,18 +296,7 @@
 
 #[test]
 fn a_request_of_a_client_is_parsed_as_recorded() {
-    let fields = [
-        ("id", "9b1f03aa5c7e2d41"),
-        ("wait", "1500"),
-        ("retry", "1"),
-        ("key", "7f3a9c21e0b4d655"),
-        ("slice", "3"),
-        ("set", "17"),
-        ("kb", "412.5"),
-        ("seen", "4be0c1927d55a6f3"),
-        ("once", "6ba245bd25e372d4b65f22998597a9da"),
-    ];
-    let bytes = request_message(70_000, "submit", &fields, b"a form");
+    let bytes = request_message(70_000, "submit", &FIELDS, b"a form");
     assert_recorded("client-request.bin", &bytes);
     let mut buffer = BytesMut::from(&recorded("client-request.bin")[..]);
     let expected = ClientRequest {
--- a/crates/flaxdeck-wire/tests/request_fields.rs
+++ b/crates/flaxdeck-wire/tests/request_fields.rs
@@ -8,27 +8,17 @@
 )]
 
 mod names;
+mod request_example;
 
 use bytes::BytesMut;
 use flaxdeck::{GroupId, Span};
 use flaxdeck_wire::rpc::{ClientMessage, parse};
 use flaxdeck_wire::{ClientRequest, InvalidRequest, Parsed};
 use names::names;
+use request_example::FIELDS;
 
 use flaxdeck_toy::request_message;
 
-const FIELDS: [(&str, &str); 9] = [
-    ("id", "9b1f03aa5c7e2d41"),
-    ("wait", "1500"),
-    ("retry", "1"),
-    ("key", "7f3a9c21e0b4d655"),
-    ("slice", "3"),
-    ("set", "17"),
-    ("kb", "412.5"),
-    ("seen", "4be0c1927d55a6f3"),
-    ("once", "6ba245bd25e372d4b65f22998597a9da"),
-];
-
 /// Parses a request with the given fields under the call number, and checks that all its bytes are removed.
 fn parse_request(call: u32, fields: &[(&str, &str)]) -> Result<ClientRequest, InvalidRequest> {
     let mut buffer = BytesMut::from(&request_message(call, "page", fields, b"")[..]);
--- a/crates/flaxdeck-wire/tests/rpc.rs
+++ b/crates/flaxdeck-wire/tests/rpc.rs
@@ -7,6 +7,7 @@
 )]
 
 mod names;
+mod request_example;
 
 use bytes::{BufMut, BytesMut};
 use flaxdeck::{ClassId, GroupId, ObjectId, Span};
@@ -14,21 +15,10 @@
 use flaxdeck_wire::rpc::{ClientMessage, encode_alive, encode_answer, parse};
 use flaxdeck_wire::{Answer, ClientRequest, InvalidRequest, InvalidValue, Parsed};
 use names::names;
+use request_example::FIELDS;
 
 use flaxdeck_toy::request_message;
 
-const FIELDS: [(&str, &str); 9] = [
-    ("id", "9b1f03aa5c7e2d41"),
-    ("wait", "1500"),
-    ("retry", "1"),
-    ("key", "7f3a9c21e0b4d655"),
-    ("slice", "3"),
-    ("set", "17"),
-    ("kb", "412.5"),
-    ("seen", "4be0c1927d55a6f3"),
-    ("once", "6ba245bd25e372d4b65f22998597a9da"),
-];
-
 #[test]
 fn a_request_received_byte_by_byte_is_parsed_once_it_is_complete() {
     let message = request_message(7, "submit", &FIELDS, b"a form");
--- a/src/run_history.rs
+++ b/src/run_history.rs
@@ -103,9 +103,15 @@
         }
     }
 
-    /// Returns the run of an earlier request with that id, if there may have been one that must not be repeated.
-    pub fn earlier_run(&self, now: Time, id: ClientRequestId) -> Option<PossibleRun> {
-        let run = self.runs.get(&id)?;
+    /// Returns the run of an earlier request with the id of a request of that class, if there may have been one that
+    /// must not be repeated.
+    pub fn earlier_run(
+        &self,
+        now: Time,
+        class: ClassId,
+        id: ClientRequestId,
+    ) -> Option<PossibleRun> {
+        let run = self.runs.get(&id).filter(|_| self.remembers(class))?;
         (now.since(run.sent) < MAX_AGE).then(|| run.clone())
     }
 
--- a/tests/run_history.rs
+++ b/tests/run_history.rs
@@ -56,10 +56,15 @@
     for (number, class) in classes.into_iter().enumerate() {
         history.record(class, ClientRequestId(number as u64), run_at(at(0)));
     }
-    let run = |number| history.earlier_run(at(5000), ClientRequestId(number));
-    assert_eq!(run(0), None);
-    assert_eq!(run(1), Some(run_at(at(0))));
-    assert_eq!(run(2), Some(run_at(at(0))));
+    let run = |class, number| history.earlier_run(at(5000), class, ClientRequestId(number));
+    for class in classes {
+        assert_eq!(run(class, 0), None);
+    }
+    for class in [AT_MOST_ONCE, DEDUPLICATED] {
+        assert_eq!(run(class, 1), Some(run_at(at(0))));
+        assert_eq!(run(class, 2), Some(run_at(at(0))));
+    }
+    assert_eq!(run(IDEMPOTENT, 1), None, "it may run again");
 }
 
 #[test]
@@ -67,7 +72,7 @@
     let mut history = RunHistory::new(&terms(), CAPACITY);
     history.record(DEDUPLICATED, ClientRequestId(1), run_at(at(0)));
     history.record(DEDUPLICATED, ClientRequestId(1), run_at(at(900)));
-    let earlier = history.earlier_run(at(1000), ClientRequestId(1));
+    let earlier = history.earlier_run(at(1000), DEDUPLICATED, ClientRequestId(1));
     assert_eq!(earlier, Some(run_at(at(0))));
     assert_eq!(history.len(), 1);
 }
@@ -82,7 +87,11 @@
     assert!(!has_room_for(&mut history, almost, AT_MOST_ONCE));
     assert!(!has_room_for(&mut history, almost, DEDUPLICATED));
     assert!(has_room_for(&mut history, almost, IDEMPOTENT));
-    assert!(history.earlier_run(almost, ClientRequestId(1)).is_some());
+    assert!(
+        history
+            .earlier_run(almost, AT_MOST_ONCE, ClientRequestId(1))
+            .is_some()
+    );
     assert_eq!(history.len(), CAPACITY);
 }
 
@@ -94,7 +103,10 @@
     assert!(has_room_for(&mut history, at(0) + MIN_AGE, AT_MOST_ONCE));
     assert_eq!(history.len(), CAPACITY - 1);
     let now = at(0) + MIN_AGE;
-    assert_eq!(history.earlier_run(now, ClientRequestId(1)), None);
+    assert_eq!(
+        history.earlier_run(now, AT_MOST_ONCE, ClientRequestId(1)),
+        None
+    );
 }
 
 // Guards against one client that sends at full speed until the requests of others are rejected.
@@ -124,7 +136,11 @@
     history.record(AT_MOST_ONCE, ClientRequestId(1), run_at(at(0)));
     let almost = at(0) + MAX_AGE - Span::from_ms(1);
     assert!(has_room_for(&mut history, almost, AT_MOST_ONCE));
-    assert!(history.earlier_run(almost, ClientRequestId(1)).is_some());
+    assert!(
+        history
+            .earlier_run(almost, AT_MOST_ONCE, ClientRequestId(1))
+            .is_some()
+    );
     assert!(has_room_for(&mut history, at(0) + MAX_AGE, AT_MOST_ONCE));
     assert!(history.is_empty());
 }
