Let the stand-in coordinators send a heartbeat each second, also between events

The coordinators of the emulator, of the scale runs and of the toy world sent an empty frame only after a second without events, so with an event a second they never sent one. What rests on that frame could not be tested with them.

Change: the time of the next heartbeat counts from the last heartbeat. For tests of slow backlogs the coordinators of the emulator and the toy world can let time pass between two events, and that of the toy world can send a heartbeat on demand, also just before its connections are closed.

--- a/crates/flaxdeck-emulator/src/coordinator.rs
+++ b/crates/flaxdeck-emulator/src/coordinator.rs
@@ -1,5 +1,5 @@
-//! The coordinator: sends each connection the numbered frames after the number that it asks from, and a heartbeat after
-//! each second without events.
+//! The coordinator: sends each connection the numbered frames after the number that it asks from, and a heartbeat each
+//! second.
 
 use std::io;
 use std::net::SocketAddr;
@@ -8,12 +8,12 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout_at};
 
 use crate::state::{HostKind, HostState, Numbered, SharedState, State};
 
-/// The time without events after which a connection gets a heartbeat frame.
-const HEARTBEAT: Duration = Duration::from_secs(1);
+/// The time between two heartbeat frames on a connection.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// The size of a frame's header after its length field: the number and the kind.
 const HEADER_BYTES: usize = 9;
 
@@ -46,16 +46,22 @@
         return Ok(());
     }
     let mut last = u64::from_be_bytes(number);
+    let mut next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
     loop {
         let notified = world.changed.notified();
         tokio::pin!(notified);
         notified.as_mut().enable();
-        let (frames, silent) = {
+        let (frames, silent, pace) = {
             let state = world.lock();
             if state.coordinator_incarnation != incarnation {
                 return Ok(());
             }
-            (frames_after(&state, last), state.coordinator_silent)
+            let pace = state.coordinator_pace;
+            // With a pace, one frame at a time, so that a change of the coordinator applies to the next one.
+            let limit = if pace.is_zero() { usize::MAX } else { 1 };
+            let mut frames = frames_after(&state, last);
+            frames.truncate(limit);
+            (frames, state.coordinator_silent, pace)
         };
         if silent {
             notified.await;
@@ -64,10 +70,14 @@
         for frame in &frames {
             stream.write_all(&frame.content).await?;
             last = frame.number;
+            if !pace.is_zero() {
+                sleep(pace).await;
+            }
         }
-        if frames.is_empty() && timeout(HEARTBEAT, notified).await.is_err() {
+        if frames.is_empty() && timeout_at(next_heartbeat, notified).await.is_err() {
             let heartbeat = frame(last, FrameKind::Heartbeat, &[]);
             stream.write_all(&heartbeat).await?;
+            next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
         }
     }
 }
--- a/crates/flaxdeck-emulator/src/fleet/faults.rs
+++ b/crates/flaxdeck-emulator/src/fleet/faults.rs
@@ -1,5 +1,7 @@
 //! Fault injection: faults as data, and what carries them out.
 
+use std::time::Duration;
+
 use super::Fleet;
 use super::process::Signal;
 use crate::error::EmulatorError;
@@ -47,6 +49,8 @@
     Purge(String),
     /// Makes the coordinator send nothing (`true`) or resume sending (`false`).
     SilenceCoordinator(bool),
+    /// Lets this time pass between two events that the coordinator sends on a connection.
+    PaceCoordinator(Duration),
     /// Restarts the coordinator with a numbering that begins at 1 again.
     LoseNumbering,
     /// Restarts the coordinator in its state of this many events ago.
@@ -105,6 +109,7 @@
             Fault::KillHost(host) => self.world.kill_host(host),
             Fault::HostFailureMode(host, mode) => self.world.set_failure_mode(host, *mode),
             Fault::Purge(object) => self.world.purge(object),
+            Fault::PaceCoordinator(pace) => self.world.set_coordinator_pace(*pace),
             Fault::SilenceCoordinator(silent) => self.world.silence_coordinator(*silent),
             Fault::LoseNumbering => self.world.lose_numbering(),
             Fault::RollBackCoordinator(events) => self.world.roll_back_coordinator(*events),
--- a/crates/flaxdeck-emulator/src/state.rs
+++ b/crates/flaxdeck-emulator/src/state.rs
@@ -164,6 +164,8 @@
     pub(crate) last_event: u64,
     /// Whether the coordinator sends nothing on its open connections.
     pub(crate) coordinator_silent: bool,
+    /// The time between two events on a connection to the coordinator.
+    pub(crate) coordinator_pace: Duration,
     /// Incremented at each restart of the coordinator; connections of an earlier incarnation are closed.
     pub(crate) coordinator_incarnation: u64,
     /// The earliest time at which the coordinator accepts the next call.
--- a/crates/flaxdeck-emulator/src/world/faults.rs
+++ b/crates/flaxdeck-emulator/src/world/faults.rs
@@ -84,6 +84,11 @@
         self.shared.changed.notify_waiters();
     }
 
+    /// Lets this time pass between two events on a connection to the coordinator, as if it were overloaded.
+    pub fn set_coordinator_pace(&self, pace: Duration) {
+        self.shared.lock().coordinator_pace = pace;
+    }
+
     /// Restarts the coordinator with a new numbering: the current full list becomes event 1, and its connections are
     /// closed.
     pub fn lose_numbering(&self) {
--- a/crates/flaxdeck-scale/src/coordinator.rs
+++ b/crates/flaxdeck-scale/src/coordinator.rs
@@ -1,6 +1,6 @@
 //! The stand-in coordinator, which runs as a separate process. It publishes events on an open-loop schedule and sends
-//! them as numbered frames to each connection, from the number on that the client names, and a heartbeat frame after
-//! each second without events. Frames are buffered in a bounded queue shared by all connections, so that a connection
+//! them as numbered frames to each connection, from the number on that the client names, and a heartbeat frame each
+//! second. Frames are buffered in a bounded queue shared by all connections, so that a connection
 //! costs no more than sending what is new to it.
 
 mod schedule;
@@ -17,7 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::task::{LocalSet, spawn_local};
-use tokio::time::{Instant, sleep_until, timeout};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::delivery::write_events;
 use crate::error::RunError;
@@ -26,7 +26,7 @@
 use schedule::Schedule;
 use state::{Batch, FrameKind, State, frame};
 
-/// How long a connection goes without events before a heartbeat is sent.
+/// The time between two heartbeats on a connection.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 
 type Shared = Rc<RefCell<State>>;
@@ -117,6 +117,7 @@
         [Counter::feed_messages_in, Counter::feed_bytes_in],
         size_of::<u64>(),
     );
+    let mut next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
     loop {
         let now = *status.borrow_and_update();
         if now.incarnation != incarnation {
@@ -130,7 +131,7 @@
             after = batch.last;
             count_sent(&batch);
             stream.write_all(&batch.bytes).await?;
-        } else if timeout(HEARTBEAT_INTERVAL, status.changed()).await.is_err() {
+        } else if timeout_at(next_heartbeat, status.changed()).await.is_err() {
             let heartbeat = Batch {
                 bytes: frame(after, FrameKind::Heartbeat, &[]).to_vec(),
                 frames: 1,
@@ -138,6 +139,7 @@
             };
             count_sent(&heartbeat);
             stream.write_all(&heartbeat.bytes).await?;
+            next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
         }
     }
 }
--- a/examples/toy/src/coordinator.rs
+++ b/examples/toy/src/coordinator.rs
@@ -4,12 +4,12 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread::{sleep, spawn};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crate::Host;
 
-/// The time without events after which a connection gets an empty frame as a heartbeat.
-const HEARTBEAT: Duration = Duration::from_secs(1);
+/// The time between two empty frames on a connection, which are heartbeats.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
 /// The pause between the bytes of a frame that never ends.
 const TRICKLE: Duration = Duration::from_millis(200);
 
@@ -33,6 +33,8 @@
     ended: bool,
     /// The number of calls that are being admitted.
     calls: u32,
+    /// The time between two events on a connection.
+    pace: Duration,
     /// The limit of concurrent calls; `None` admits all calls immediately.
     call_limit: Option<CallLimit>,
     /// How often all open connections were closed.
@@ -41,6 +43,8 @@
     silenced: u32,
     /// How often a frame that never ends was begun on all open connections.
     trickled: u32,
+    /// How often a heartbeat was sent early on all open connections.
+    prompted: u32,
 }
 
 /// A limit of concurrent calls; calls beyond it are closed.
@@ -134,6 +138,18 @@
         self.shared.changed.notify_all();
     }
 
+    /// Sends a heartbeat on the connections that are open now, without waiting until it is due. Connections that are
+    /// closed afterwards send it first.
+    pub fn send_heartbeat(&self) {
+        self.shared.lock().prompted += 1;
+        self.shared.changed.notify_all();
+    }
+
+    /// Lets this time pass between two events on a connection.
+    pub fn set_pace(&self, pace: Duration) {
+        self.shared.lock().pace = pace;
+    }
+
     /// Shuts down: closes all connections and the listener.
     pub fn end(self) {
         self.close_connections();
@@ -203,8 +219,10 @@
 
 /// The next action on a connection.
 enum Step {
-    /// Sends these events, or a heartbeat if there are none.
+    /// Sends these events.
     Send(Vec<Event>),
+    /// Sends a heartbeat; with it all are sent that were prompted so far.
+    SendHeartbeat { prompted: u32 },
     /// Closes the connection.
     Close,
     /// Keeps the connection open without sending anything.
@@ -220,6 +238,7 @@
     closed: u32,
     silenced: u32,
     trickled: u32,
+    prompted: u32,
 }
 
 impl State {
@@ -228,6 +247,7 @@
             closed: self.closed,
             silenced: self.silenced,
             trickled: self.trickled,
+            prompted: self.prompted,
         }
     }
 }
@@ -239,20 +259,25 @@
     if !admit_call(shared) {
         return Ok(());
     }
-    let at_start = shared.lock().action_counts();
+    let mut known = shared.lock().action_counts();
+    let mut next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
     loop {
-        match next_step(shared, at_start, last) {
+        match next_step(shared, known, last, next_heartbeat) {
             Step::Close => return Ok(()),
             // Returns when the other side closes the connection or sends a byte.
             Step::GoSilent => return stream.read_exact(&mut [0]),
             Step::Trickle => return send_endless_frame(stream),
+            Step::SendHeartbeat { prompted } => {
+                stream.write_all(&frame(last, 0, &[]))?;
+                known.prompted = prompted;
+                next_heartbeat = Instant::now() + HEARTBEAT_INTERVAL;
+            }
             Step::Send(events) => {
-                if events.is_empty() {
-                    stream.write_all(&frame(last, 0, &[]))?;
-                }
+                let pace = shared.lock().pace;
                 for event in events {
                     stream.write_all(&frame(event.number, event.kind, &event.payload))?;
                     last = event.number;
+                    sleep(pace);
                 }
             }
         }
@@ -265,27 +290,42 @@
     clippy::expect_used,
     reason = "a test in which a connection has panicked must fail"
 )]
-fn next_step(shared: &Shared, at_start: ActionCounts, last: u64) -> Step {
+fn next_step(shared: &Shared, known: ActionCounts, last: u64, next_heartbeat: Instant) -> Step {
     let nothing_to_do = |state: &mut State| {
         let counts = state.action_counts();
-        (counts.closed, counts.trickled) == (at_start.closed, at_start.trickled)
+        (counts.closed, counts.trickled, counts.prompted)
+            == (known.closed, known.trickled, known.prompted)
             && state.events.last().is_none_or(|event| event.number <= last)
     };
+    let heartbeat_due_in = next_heartbeat.saturating_duration_since(Instant::now());
     let waited = shared
         .changed
-        .wait_timeout_while(shared.lock(), HEARTBEAT, nothing_to_do);
+        .wait_timeout_while(shared.lock(), heartbeat_due_in, nothing_to_do);
     let (state, _) = waited.expect("a thread panicked while it held the state");
     let counts = state.action_counts();
-    if counts.closed != at_start.closed {
+    let events = || {
+        let events = state.events.iter();
+        events.filter(|event| event.number > last).cloned()
+    };
+    let is_heartbeat_prompted = counts.prompted != known.prompted;
+    if is_heartbeat_prompted && events().next().is_none() {
+        Step::SendHeartbeat {
+            prompted: counts.prompted,
+        }
+    } else if counts.closed != known.closed && !is_heartbeat_prompted {
         Step::Close
-    } else if counts.trickled != at_start.trickled {
+    } else if counts.trickled != known.trickled {
         Step::Trickle
-    } else if counts.silenced != at_start.silenced {
+    } else if counts.silenced != known.silenced {
         Step::GoSilent
     } else {
-        let events = state.events.iter();
-        let events = events.filter(|event| event.number > last);
-        Step::Send(events.cloned().collect())
+        let events: Vec<Event> = events().collect();
+        match events.is_empty() {
+            true => Step::SendHeartbeat {
+                prompted: counts.prompted,
+            },
+            false => Step::Send(events),
+        }
     }
 }
 
