--- a/crates/flaxdeck-channel/src/watch/mod.rs
+++ b/crates/flaxdeck-channel/src/watch/mod.rs
@@ -1,8 +1,9 @@
 //! The connection to the coordinator. A [`Watch`] opens it, reads events from it and reopens it when it ends; what to
 //! do when is decided in [`protocol`].
 
+pub mod arrival;
+mod completeness;
 mod expedited_reconnect;
-mod last_heard;
 pub mod protocol;
 
 use std::cell::RefCell;
@@ -11,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxdeck::{Span, Time};
+use flaxdeck::{CoordinatorKnowledge, Span};
 use flaxdeck_net::clock::Clock;
 use flaxdeck_net::link::{Inbound, Outbound};
 use flaxdeck_net::metrics::{Counter, count, count_message};
@@ -25,8 +26,9 @@
 use flaxdeck_wire::{Parsed, frames};
 use tokio::time::{Instant, sleep, timeout};
 
+use arrival::ReadBytes;
+pub use completeness::Completeness;
 pub use expedited_reconnect::ExpeditedReconnect;
-pub use last_heard::LastHeard;
 pub use protocol::WatchEvent;
 use protocol::{Action, Disconnect, WatchProtocol};
 
@@ -49,7 +51,7 @@
     protocol: WatchProtocol,
     link: Option<Link>,
     expedited_reconnect: Rc<ExpeditedReconnect>,
-    last_heard: Rc<LastHeard>,
+    completeness: Rc<Completeness>,
     /// The first connection is delayed, as planners may relay the same events sooner.
     delays_first_connection: bool,
     /// Planners relay all events: no connection is open, and none is opened.
@@ -93,7 +95,7 @@
             protocol: WatchProtocol::new(numbering, seed, clock.now()),
             link: None,
             expedited_reconnect: Rc::default(),
-            last_heard: Rc::new(LastHeard::now()),
+            completeness: Rc::new(Completeness::of_configuration()),
             delays_first_connection: false,
             is_paused: false,
         };
@@ -112,9 +114,9 @@
         self.expedited_reconnect.clone()
     }
 
-    /// Returns the shared time at which all events of the coordinator were last known.
-    pub fn last_heard(&self) -> Rc<LastHeard> {
-        self.last_heard.clone()
+    /// Returns the shared time as of which all events of the coordinator are known.
+    pub fn completeness(&self) -> Rc<Completeness> {
+        self.completeness.clone()
     }
 
     /// Closes the connection while planners relay all events, or lets it be opened again. Planners may lag behind, so
@@ -132,9 +134,18 @@
         self.names.clone()
     }
 
-    /// Returns whether all events have been received that the coordinator had when the connection was opened.
-    pub fn is_current(&self) -> bool {
-        self.protocol.is_current()
+    /// Returns whether a heartbeat on this connection has shown that all events were known, so that later ones arrive
+    /// as they happen.
+    pub fn is_live(&self) -> bool {
+        self.protocol.is_live()
+    }
+
+    /// Returns what is known of the coordinator's events, with times by another clock of this process.
+    pub fn knowledge(&self, clock: &Clock) -> CoordinatorKnowledge {
+        CoordinatorKnowledge {
+            is_caught_up: self.protocol.is_caught_up(),
+            complete_as_of: self.completeness.by_heartbeat(clock),
+        }
     }
 
     /// Switches to the coordinator of a reloaded configuration, with the same numbering. Returns those events of the
@@ -183,7 +194,7 @@
                 Action::Emit(event) => {
                     count_event(&event);
                     if matches!(event, WatchEvent::Heartbeat) {
-                        self.note_current();
+                        self.note_complete();
                     }
                     return event;
                 }
@@ -217,40 +228,37 @@
         };
         let begins_frame = inbound.bytes.is_empty();
         let limit = self.protocol.read_limit();
+        let idle_check = self.protocol.next_idle_check();
         let wait = self
             .clock
-            .instant(limit.until)
+            .instant(limit.until.min(idle_check))
             .duration_since(Instant::now());
         let read = timeout(wait, inbound.read_more(missing)).await;
         let now = self.clock.now();
         match read {
-            Ok(Ok(true)) => self.protocol.bytes_read(now, begins_frame),
-            Ok(Ok(false)) => {
-                if begins_frame {
-                    self.note_orderly_end(now);
-                }
-                self.protocol.disconnect(Disconnect::Ended)
+            Ok(Ok(true)) => {
+                let read = ReadBytes {
+                    begins_frame,
+                    // A read that leaves free space in the buffer has taken everything.
+                    emptied_socket: inbound.bytes.len() < inbound.bytes.capacity(),
+                };
+                self.protocol.bytes_read(now, read)
+            }
+            Ok(Ok(false) | Err(_)) => self.protocol.disconnect(Disconnect::Ended),
+            Err(_) if now >= limit.until => self.protocol.timed_out(now, limit.timeout),
+            Err(_) => {
+                // The timer may have fired late. Nothing had arrived when it was due.
+                self.protocol.idle_checked(idle_check);
+                Action::Continue
             }
-            Ok(Err(_)) => self.protocol.disconnect(Disconnect::Ended),
-            Err(_) => self.protocol.timed_out(now, limit.timeout),
-        }
-    }
-
-    /// Notes that all events are known that the coordinator had when it sent its last frame. A connection on which it
-    /// has sent none confirms nothing: the system also accepts connections for a process that hangs.
-    fn note_current(&self) {
-        if let Some(at) = self.protocol.last_frame_at() {
-            self.last_heard.heard_at(self.clock.instant(at));
         }
     }
 
-    /// Notes what the end of a connection at the boundary of a frame confirms: all events so far if they came as they
-    /// happened, else those that the coordinator had when it sent its last frame.
-    fn note_orderly_end(&self, now: Time) {
-        if self.protocol.is_live(now) {
-            self.last_heard.heard_at(self.clock.instant(now));
-        } else {
-            self.note_current();
+    /// Notes as of when the coordinator's heartbeats have shown that all events are known.
+    fn note_complete(&self) {
+        if let Some(as_of) = self.protocol.complete_as_of() {
+            self.completeness
+                .note_heartbeat(self.clock.instant(as_of.time()));
         }
     }
 
@@ -313,7 +321,7 @@
 
 fn count_event(event: &WatchEvent) {
     match event {
-        WatchEvent::Heartbeat => {}
+        WatchEvent::Heartbeat | WatchEvent::CaughtUp => {}
         WatchEvent::Event { .. } => count(Counter::feed_events),
         WatchEvent::FullList { .. } => count(Counter::feed_anew),
     }
--- a/crates/flaxdeck-channel/src/watch/protocol.rs
+++ b/crates/flaxdeck-channel/src/watch/protocol.rs
@@ -9,13 +9,17 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use flaxdeck::{Span, Time};
-use flaxdeck_recovery::numbering::{EventAction, MissedPeriod, Numbering, ReconnectReason};
+use flaxdeck::{CompleteAsOf, Span, Time};
+use flaxdeck_recovery::numbering::{
+    EventAction, Heartbeat, MissedPeriod, Numbering, ReconnectReason,
+};
 use flaxdeck_recovery::{EventPosition, LiveEdge, ReconnectBackoff};
 use flaxdeck_wire::Malformed;
 use flaxdeck_wire::frames::{Event, Frame};
 use thiserror::Error;
 
+use super::arrival::{ArrivalTimes, ReadBytes};
+
 /// Time without a frame after which the connection counts as dead: the coordinator sends one every second, so two are
 /// missing. An event counts as announced after 4 s even if the coordinator has stopped, and the rest of that time is
 /// needed to reconnect.
@@ -35,8 +39,10 @@
 /// What the watch has received from the coordinator.
 #[derive(Debug)]
 pub enum WatchEvent {
-    /// No event, but the coordinator is alive.
+    /// The coordinator says that it has nothing new.
     Heartbeat,
+    /// No further event seems to be on its way, which is a guess.
+    CaughtUp,
     /// An event that follows the last known one.
     Event {
         /// Position of the event in the coordinator's numbering.
@@ -115,8 +121,8 @@
 /// What it means if no bytes are received until a time limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Timeout {
-    /// All events that the coordinator has have been received.
-    Current,
+    /// No further event seems to be on its way.
+    CaughtUp,
     /// The coordinator does not have an event that it would have sent by now.
     EventMissing,
     /// The connection is dead.
@@ -140,10 +146,11 @@
     backoff: ReconnectBackoff,
     /// When the connection was opened, the last complete frame was received, or the first bytes of a frame were.
     last_received_at: Time,
-    /// When the last complete frame of the present connection was received; none if it has brought none.
-    last_frame_at: Option<Time>,
-    /// All events have been received that the coordinator had when the connection was opened.
-    is_current: bool,
+    /// When the connection was opened or the last complete frame was received.
+    last_frame_at: Time,
+    arrival: ArrivalTimes,
+    /// No further event of those that the coordinator had when the connection was opened seems to be on its way.
+    is_caught_up: bool,
     /// Detects that also where events arrive without a pause.
     live_edge: LiveEdge,
 }
@@ -156,8 +163,9 @@
             numbering: Rc::new(RefCell::new(numbering)),
             backoff: ReconnectBackoff::new(seed, MIN_BACKOFF, MAX_BACKOFF),
             last_received_at: now,
-            last_frame_at: None,
-            is_current: false,
+            last_frame_at: now,
+            arrival: ArrivalTimes::new(now),
+            is_caught_up: false,
             live_edge: LiveEdge::default(),
         }
     }
@@ -167,20 +175,21 @@
         self.numbering.clone()
     }
 
-    /// Returns whether all events have been received that the coordinator had when the connection was opened.
-    pub fn is_current(&self) -> bool {
-        self.is_current
+    /// Returns whether no further event seems to be on its way of those that the coordinator had when the connection was
+    /// opened. This is a guess, unless [`WatchProtocol::is_live`].
+    pub fn is_caught_up(&self) -> bool {
+        self.is_caught_up
     }
 
-    /// Returns whether the connection brings events as they happen: the watch is current, and no heartbeat is missing.
-    pub fn is_live(&self, now: Time) -> bool {
-        let is_recent = |at| now.since(at) < HEARTBEAT_INTERVAL + HEARTBEAT_DELAY;
-        self.is_current && self.last_frame_at.is_some_and(is_recent)
+    /// Returns whether a heartbeat on this connection has shown that all events were known, so that later ones arrive
+    /// as they happen.
+    pub fn is_live(&self) -> bool {
+        self.numbering.borrow().is_live()
     }
 
-    /// Returns when the last complete frame of the present connection was received; none if it has brought none.
-    pub fn last_frame_at(&self) -> Option<Time> {
-        self.last_frame_at
+    /// Returns as of when a heartbeat has shown that all events are known.
+    pub fn complete_as_of(&self) -> Option<CompleteAsOf> {
+        self.numbering.borrow().complete_as_of()
     }
 
     /// Draws the delay of the first connection, for an instance whose planners may relay the same events sooner.
@@ -203,8 +212,9 @@
     /// Records that a connection was opened. Returns the number after which to request events.
     pub fn connected(&mut self, now: Time) -> u64 {
         self.last_received_at = now;
-        self.last_frame_at = None;
-        self.is_current = false;
+        self.last_frame_at = now;
+        self.arrival = ArrivalTimes::new(now);
+        self.is_caught_up = false;
         self.live_edge = LiveEdge::default();
         self.numbering.borrow_mut().connection_opened(now)
     }
@@ -212,7 +222,7 @@
     /// Records that the connection has ended, or that there is none. `is_incomplete` is true if the coordinator may
     /// have had more events to send: the connection timed out, or this side paused it while planners relay all events.
     pub fn disconnected(&mut self, is_incomplete: bool) {
-        self.is_current = false;
+        self.is_caught_up = false;
         self.live_edge = LiveEdge::default();
         self.numbering.borrow_mut().connection_closed(is_incomplete);
     }
@@ -225,21 +235,39 @@
 
     /// Handles a complete frame.
     pub fn frame(&mut self, now: Time, frame: Frame) -> Action {
+        let sent = self.earliest_send_time();
         self.last_received_at = now;
-        self.last_frame_at = Some(now);
+        self.last_frame_at = now;
         match frame.event {
-            None => self.heartbeat(now),
+            None => self.heartbeat(
+                now,
+                Heartbeat {
+                    number: frame.number,
+                    sent,
+                },
+            ),
             Some(event) => self.event(now, frame.number, frame.bytes, event),
         }
     }
 
-    fn heartbeat(&mut self, now: Time) -> Action {
-        let action = self.numbering.borrow_mut().receive_heartbeat(now);
+    /// Returns when the frame that has just been completed was sent at the earliest, if it is a heartbeat: when it
+    /// certainly had not arrived yet, and no later than the coordinator sends one after the last frame, as the network
+    /// may have held it up.
+    fn earliest_send_time(&mut self) -> Time {
+        let due = self.last_frame_at + HEARTBEAT_INTERVAL + HEARTBEAT_DELAY;
+        self.arrival.complete_frame().min(due)
+    }
+
+    fn heartbeat(&mut self, now: Time, heartbeat: Heartbeat) -> Action {
+        let action = self
+            .numbering
+            .borrow_mut()
+            .receive_heartbeat(now, heartbeat);
         if action != EventAction::Skip {
             return self.disconnect(Disconnect::EventMissing(action));
         }
         self.backoff.answered(now);
-        self.is_current = true;
+        self.is_caught_up |= self.is_live();
         Action::Emit(WatchEvent::Heartbeat)
     }
 
@@ -277,29 +305,29 @@
         }
     }
 
-    /// Marks the watch as current if events arrive as fast as they happen. Without this it would not become current
-    /// before the next pause between events.
+    /// Marks the watch as caught up if events arrive as fast as they happen. Without this it would not be before the
+    /// next pause between events.
     fn update_live_edge(&mut self, now: Time, event: &Event) {
         let Event::Purged { made, .. } = event else {
             return;
         };
         let is_live =
             self.live_edge.record_event(now, *made) && self.numbering.borrow().is_proven();
-        self.is_current |= is_live;
+        self.is_caught_up |= is_live;
     }
 
-    /// Returns how long to wait for more bytes, and what it means if none arrive. Until the watch is current, a short
-    /// idle time means that all events have been received. A known event that the coordinator has to send again, and
+    /// Returns how long to wait for more bytes, and what it means if none arrive. Until the watch has caught up, it does
+    /// so by a short idle time. A known event that the coordinator has to send again, and
     /// does not send within a short time, is one that it does not have. Otherwise the limit is that of a dead
     /// connection.
     pub fn read_limit(&self) -> ReadLimit {
         let numbering = self.numbering.borrow();
-        let current_at = numbering.current_at().filter(|_| !self.is_current);
+        let caught_up_at = numbering.caught_up_at().filter(|_| !self.is_caught_up);
         let proof_due = numbering.proof_due();
-        match (current_at, proof_due) {
+        match (caught_up_at, proof_due) {
             (Some(at), proof_due) if proof_due.is_none_or(|due| at <= due) => ReadLimit {
                 until: at + TIMER_MARGIN,
-                timeout: Timeout::Current,
+                timeout: Timeout::CaughtUp,
             },
             (_, Some(due)) => ReadLimit {
                 until: due + TIMER_MARGIN,
@@ -316,10 +344,21 @@
         self.last_received_at + SILENCE_TIMEOUT
     }
 
-    /// Records that bytes were read. `begins_frame` is true if they are the first of a frame. Closes a connection on
-    /// which a frame arrives so slowly that it is not complete within the time limit.
-    pub fn bytes_read(&mut self, now: Time, begins_frame: bool) -> Action {
-        if begins_frame {
+    /// Returns when an idle connection has to be checked next.
+    pub fn next_idle_check(&self) -> Time {
+        self.arrival.next_idle_check()
+    }
+
+    /// Records that nothing had arrived by that time that was not read.
+    pub fn idle_checked(&mut self, at: Time) {
+        self.arrival.note_idle(at);
+    }
+
+    /// Records that bytes were read. Closes a connection on which a frame arrives so slowly that it is not complete
+    /// within the time limit.
+    pub fn bytes_read(&mut self, now: Time, read: ReadBytes) -> Action {
+        self.arrival.note_read(now, read);
+        if read.begins_frame {
             self.last_received_at = now;
         } else if now >= self.silent_at() {
             return self.disconnect(Disconnect::Ended);
@@ -330,16 +369,16 @@
     /// Handles that no bytes were received until the time of [`WatchProtocol::read_limit`].
     pub fn timed_out(&mut self, now: Time, timeout: Timeout) -> Action {
         match timeout {
-            Timeout::Current => {
-                self.is_current = self.numbering.borrow().is_current(now);
-                if !self.is_current {
+            Timeout::CaughtUp => {
+                self.is_caught_up = self.numbering.borrow().is_caught_up(now);
+                if !self.is_caught_up {
                     return Action::Continue;
                 }
                 self.backoff.answered(now);
-                Action::Emit(WatchEvent::Heartbeat)
+                Action::Emit(WatchEvent::CaughtUp)
             }
             Timeout::EventMissing => {
-                let action = self.numbering.borrow_mut().proof_overdue(now);
+                let action = self.numbering.borrow_mut().proof_overdue();
                 self.disconnect(Disconnect::EventMissing(action))
             }
             Timeout::Silent => self.disconnect(Disconnect::Silent),
--- a/crates/flaxdeck-control/src/forwarder.rs
+++ b/crates/flaxdeck-control/src/forwarder.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use flaxdeck::{Observation, Sampled, Span, Time, ZoneId};
+use flaxdeck::{CaughtUpAt, CompleteAsOf, Observation, Sampled, Span, Time, ZoneId};
 
 use crate::membership::{PlannerId, PlannerStatus};
 use crate::messages::{Epoch, Incarnation, Rating, SlotId, Stamp};
@@ -35,8 +35,8 @@
     pub has_slot: bool,
     /// Identifies this forwarder across restarts.
     pub slot: SlotId,
-    /// The endpoint list counts as unconfirmed once neither the coordinator nor a planner that is up to date with it
-    /// was heard for this long. `None` if it never does.
+    /// The endpoint list counts as unconfirmed once neither the coordinator nor a planner that has caught up with it was
+    /// heard for this long. `None` if it never does.
     pub unconfirmed_limit: Option<Span>,
 }
 
@@ -49,9 +49,9 @@
     version: u64,
     messages_sent: u64,
     last_report: Option<Time>,
-    /// The planner confirms that the events known here were all of the coordinator's at this time or later. None if its
-    /// latest guidance did not confirm that.
-    confirmed_at: Option<Time>,
+    /// When the planner and this forwarder stood at the same event and none seemed to be on its way to the planner. None
+    /// if that was not so at its latest guidance.
+    caught_up_at: Option<CaughtUpAt>,
     /// Until when deposits that an earlier run lent to the planner may be outstanding, as the planner reported it.
     outstanding_until: Option<Time>,
 }
@@ -102,9 +102,13 @@
     link: Option<Sampled<f64>>,
     /// Utilization of this zone's link, as planners reported it.
     peers_link: Option<Sampled<f64>>,
-    /// When this forwarder was last known to have all events of the coordinator, other than by planners' guidance. None
+    /// When this forwarder had last caught up with the coordinator's events, other than by planners' guidance. None
     /// since the start.
-    coordinator_heard: Option<Time>,
+    caught_up_at: Option<CaughtUpAt>,
+    /// As of when this forwarder certainly had all of the coordinator's events.
+    complete_as_of: Option<CompleteAsOf>,
+    /// How long after that the endpoint list may be relied on; `None` if it always may.
+    list_lifetime: Option<Span>,
     /// None if a full report is due at every tick.
     report_suppression: Option<ReportSuppression>,
     /// Counters since the start.
@@ -137,7 +141,9 @@
             zone: 0,
             link: None,
             peers_link: None,
-            coordinator_heard: None,
+            caught_up_at: None,
+            complete_as_of: None,
+            list_lifetime: None,
             report_suppression: None,
             counters: Counters::default(),
         }
@@ -169,14 +175,24 @@
         }
     }
 
-    /// Records that the coordinator itself was heard at `now` and that all its events are known here.
-    pub fn coordinator_heard(&mut self, now: Time) {
-        self.coordinator_heard = Some(now);
+    /// Limits for how long the endpoint list may be relied on after this forwarder had all of the coordinator's events.
+    pub fn limit_list_lifetime(&mut self, lifetime: Span) {
+        self.list_lifetime = Some(lifetime);
     }
 
-    /// Records that all events that the coordinator had at `at` are known here.
-    pub fn events_known_at(&mut self, at: Time) {
-        self.coordinator_heard = self.coordinator_heard.max(Some(at));
+    /// Records that no further event of the coordinator seemed to be on its way at that time.
+    pub fn note_caught_up(&mut self, at: CaughtUpAt) {
+        self.caught_up_at = self.caught_up_at.max(Some(at));
+    }
+
+    /// Records that all events are known here that the coordinator had as of that time.
+    pub fn note_complete(&mut self, as_of: CompleteAsOf) {
+        self.complete_as_of = self.complete_as_of.max(Some(as_of));
+    }
+
+    /// Records that it is not known of any time that all of the coordinator's events are known here.
+    pub fn forget_completeness(&mut self) {
+        self.complete_as_of = None;
     }
 
     /// Sets how long from `now` this forwarder's own shares are not used, where it is known what its earlier run lent.
--- a/crates/flaxdeck-control/src/forwarder/freshness.rs
+++ b/crates/flaxdeck-control/src/forwarder/freshness.rs
@@ -2,15 +2,14 @@
 
 use std::fmt;
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CaughtUpAt, Span, Time};
 
 use super::{Exchange, ForwarderSession};
+use crate::COORDINATOR_TIMEOUT;
 use crate::membership::PlannerStatus;
 
 /// Ratings older than this are not passed to the decision engine: by then its own trials give better information.
 pub(super) const RATINGS_LIFETIME: Span = Span::from_ms(10_000);
-/// The coordinator sends a message every second: a connection on which two of them are missing counts as lost.
-pub(super) const COORDINATOR_TIMEOUT: Span = Span::from_ms(2_200);
 
 /// How recent a forwarder's information about other processes is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,7 +20,7 @@
     Aging,
     /// The forwarder has only its own observations.
     Standalone,
-    /// The endpoint list was not confirmed for longer than the operator allows.
+    /// The endpoint list was not confirmed for longer than the operator allows, or may lack events that are in force.
     Unconfirmed,
 }
 
@@ -40,11 +39,7 @@
 impl ForwarderSession {
     /// Returns how recent this forwarder's information is at `now`.
     pub fn freshness(&self, now: Time) -> Freshness {
-        let is_unconfirmed = self.options.unconfirmed_limit.is_some_and(|limit| {
-            self.confirmed_at()
-                .is_none_or(|confirmed| now.since(confirmed) >= limit)
-        });
-        if is_unconfirmed {
+        if !self.is_confirmed(now) {
             return Freshness::Unconfirmed;
         }
         if self.planners.iter().any(|planner| planner.is_live(now)) {
@@ -62,23 +57,50 @@
         }
     }
 
-    /// Returns when the endpoint list was last confirmed, by the coordinator itself or by a planner that is up to date
-    /// with it; `None` if it was not since the start.
-    pub fn confirmed_at(&self) -> Option<Time> {
+    /// Returns whether the endpoint list may be relied on: the coordinator or a planner that has caught up with it was
+    /// heard recently enough for the operator, and no event is in force that may not be known here.
+    pub fn is_confirmed(&self, now: Time) -> bool {
+        let is_valid = |until: Option<Time>| until.is_some_and(|until| now < until);
+        let limits = [
+            (self.options.unconfirmed_limit, self.contact_valid_until()),
+            (self.list_lifetime, self.list_valid_until()),
+        ];
+        limits
+            .into_iter()
+            .all(|(limit, until)| limit.is_none() || is_valid(until))
+    }
+
+    /// Returns whether the coordinator, or a planner that has caught up with it, was heard since the start.
+    pub fn has_contact(&self) -> bool {
+        self.caught_up_at().is_some()
+    }
+
+    /// Returns when this forwarder had last caught up with the coordinator's events, by the coordinator itself or by a
+    /// planner; `None` if it had not since the start.
+    fn caught_up_at(&self) -> Option<CaughtUpAt> {
         self.exchanges
             .iter()
-            .filter_map(|exchange| exchange.confirmed_at)
-            .chain(self.coordinator_heard)
+            .filter_map(|exchange| exchange.caught_up_at)
+            .chain(self.caught_up_at)
             .max()
     }
 
+    fn contact_valid_until(&self) -> Option<Time> {
+        let limit = self.options.unconfirmed_limit?;
+        Some(self.caught_up_at()?.time() + limit)
+    }
+
+    fn list_valid_until(&self) -> Option<Time> {
+        Some(self.complete_as_of?.time() + self.list_lifetime?)
+    }
+
     /// Returns whether a live planner heard the coordinator about as recently as a direct connection would have. Events
     /// such as drains then arrive by way of that planner as well.
     pub fn is_confirmed_by_planners(&self, now: Time) -> bool {
         let is_confirmed = |exchange: &Exchange| {
             exchange
-                .confirmed_at
-                .is_some_and(|at| now.since(at) < COORDINATOR_TIMEOUT * 0.5)
+                .caught_up_at
+                .is_some_and(|at| now.since(at.time()) < COORDINATOR_TIMEOUT * 0.5)
         };
         self.planners
             .iter()
@@ -88,15 +110,10 @@
 
     /// Returns when the hints to the decision engine change next if no message arrives until then.
     pub fn next_change(&self, now: Time) -> Option<Time> {
-        let confirmed_at = self.confirmed_at();
-        let unconfirmed_from = self
-            .options
-            .unconfirmed_limit
-            .and_then(|limit| confirmed_at.map(|at| at + limit))
-            .filter(|at| *at > now);
-        [unconfirmed_from, self.quotas.next_change(now)]
+        let unconfirmed_from = [self.contact_valid_until(), self.list_valid_until()]
             .into_iter()
             .flatten()
-            .min()
+            .filter(|at| *at > now);
+        unconfirmed_from.chain(self.quotas.next_change(now)).min()
     }
 }
--- a/crates/flaxdeck-control/src/forwarder/guidance.rs
+++ b/crates/flaxdeck-control/src/forwarder/guidance.rs
@@ -1,10 +1,10 @@
 //! How a forwarder applies guidance from a planner.
 
-use flaxdeck::{Sampled, Span, Time};
+use flaxdeck::{CaughtUpAt, CompleteAsOf, Sampled, Span, Time};
 use flaxdeck_recovery::EventPosition;
 
-use super::freshness::COORDINATOR_TIMEOUT;
 use super::{Exchange, ForwarderSession};
+use crate::COORDINATOR_TIMEOUT;
 use crate::error::{InvalidMessage, MessageError};
 use crate::membership::PlannerId;
 use crate::messages::{
@@ -43,10 +43,8 @@
         let events = following_events(guidance.events, guidance.after, last_event);
         self.counters.relayed += events.len() as u64;
         let last = events.last().map_or(last_event, |event| event.position);
-        let is_current = guidance.coordinator_position == Some(last);
-        let heard_ago = guidance.coordinator_ago_ms.filter(|_| is_current);
-        self.exchanges[from.0 as usize].confirmed_at =
-            heard_ago.map(|ago| confirmed_at(as_of, ago));
+        let is_same = guidance.coordinator_position == Some(last);
+        self.record_coordinator_knowledge(as_of, from, is_same, guidance.coordinator_ago_ms);
         if let Some(link) = guidance.link {
             self.record_peers_link(as_of, link);
         }
@@ -54,6 +52,22 @@
         Ok(events)
     }
 
+    /// Records what a planner knew of the coordinator's events as of `as_of`. `is_same` is true if it had caught up and
+    /// stood at the last event that is known here.
+    fn record_coordinator_knowledge(
+        &mut self,
+        as_of: Time,
+        from: PlannerId,
+        is_same: bool,
+        heartbeat_ago_ms: Option<u32>,
+    ) {
+        let exchange = &mut self.exchanges[from.0 as usize];
+        exchange.caught_up_at = is_same.then(|| caught_up_at(as_of, heartbeat_ago_ms));
+        if let Some(ago_ms) = heartbeat_ago_ms.filter(|_| is_same) {
+            self.note_complete(CompleteAsOf::by_planner(as_of - span_of(ago_ms)));
+        }
+    }
+
     fn count(&mut self, error: MessageError) {
         let counters = &mut self.counters;
         let count = match error {
@@ -218,9 +232,12 @@
     events
 }
 
-/// Returns the time at which a planner certainly had all events of the coordinator, if it reported as of `as_of` that
-/// it had heard the coordinator `coordinator_ago_ms` before. An age of up to [`COORDINATOR_TIMEOUT`] counts as none:
-/// between two of the coordinator's messages, a planner on a working connection would receive any change at once.
-fn confirmed_at(as_of: Time, coordinator_ago_ms: u32) -> Time {
-    as_of - span_of(coordinator_ago_ms).saturating_sub(COORDINATOR_TIMEOUT)
+/// Returns when a planner had caught up, if it reported so as of `as_of`, and that the coordinator's last heartbeat was
+/// `heartbeat_ago_ms` before. An age of up to [`COORDINATOR_TIMEOUT`] counts as none: between two heartbeats, a planner
+/// on a working connection would receive any change at once.
+fn caught_up_at(as_of: Time, heartbeat_ago_ms: Option<u32>) -> CaughtUpAt {
+    let overdue = heartbeat_ago_ms.map_or(Span::ZERO, |ago| {
+        span_of(ago).saturating_sub(COORDINATOR_TIMEOUT)
+    });
+    CaughtUpAt::new(as_of - overdue)
 }
--- a/crates/flaxdeck-control/src/lib.rs
+++ b/crates/flaxdeck-control/src/lib.rs
@@ -62,3 +62,8 @@
 pub use lease_schedule::LeaseSchedule;
 pub use lease_terms::LeaseTerms;
 pub use quota_fraction::QuotaFraction;
+
+use flaxdeck::Span;
+
+/// The coordinator sends a message every second: a connection on which two of them are missing counts as lost.
+const COORDINATOR_TIMEOUT: Span = Span::from_ms(2_200);
--- a/crates/flaxdeck-control/src/messages.rs
+++ b/crates/flaxdeck-control/src/messages.rs
@@ -238,12 +238,13 @@
 pub struct Guidance {
     /// Sender, recipient, number and time.
     pub envelope: Envelope,
-    /// Time since the planner last received a message from the coordinator.
+    /// Time since the planner certainly had all of the coordinator's events, by a heartbeat of the coordinator. Absent
+    /// before the first heartbeat.
     pub coordinator_ago_ms: Option<u32>,
     /// How long deposits that any run in this forwarder's slot lent to this planner may still be outstanding. Absent if
     /// the planner does not know, because it started too recently or does not track the slot.
     pub outstanding_ms: Option<u32>,
-    /// The last event known to the planner; absent while the planner can't tell whether that is the coordinator's last.
+    /// The last event known to the planner; absent while further events seem to be on their way to it.
     pub coordinator_position: Option<EventPosition>,
     /// The version of the planner's ratings that the forwarder has after this message.
     pub version: u64,
--- a/crates/flaxdeck-control/src/planner.rs
+++ b/crates/flaxdeck-control/src/planner.rs
@@ -11,7 +11,7 @@
 
 use std::collections::BTreeMap;
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CoordinatorKnowledge, Span, Time};
 use flaxdeck_recovery::EventPosition;
 
 use crate::instance_slots::InstanceSlots;
@@ -116,8 +116,8 @@
     relay_log: RelayLog,
     /// When the coordinator was last heard from.
     coordinator_heard: Option<Time>,
-    /// Whether the planner had all of the coordinator's events then.
-    is_current: bool,
+    /// What was known of its events then.
+    coordinator_knowledge: CoordinatorKnowledge,
     next_prune: Time,
     /// Counters since the start.
     pub counters: Counters,
@@ -146,7 +146,7 @@
             links: ZoneLinks::default(),
             relay_log: RelayLog::default(),
             coordinator_heard: None,
-            is_current: false,
+            coordinator_knowledge: CoordinatorKnowledge::default(),
             next_prune: now,
             counters: Counters::default(),
         }
@@ -180,11 +180,16 @@
         self.hosts.keys()
     }
 
-    /// Records a message of the coordinator, and appends its event, if any, to the log of events to relay. `is_current`
-    /// tells whether all of the coordinator's events are known here.
-    pub fn coordinator_heard(&mut self, now: Time, event: Option<RelayedEvent>, is_current: bool) {
+    /// Records a message of the coordinator and what is known of its events since, and appends its event, if any, to the
+    /// log of events to relay.
+    pub fn coordinator_heard(
+        &mut self,
+        now: Time,
+        event: Option<RelayedEvent>,
+        knowledge: CoordinatorKnowledge,
+    ) {
         self.coordinator_heard = Some(now);
-        self.is_current = is_current;
+        self.coordinator_knowledge = knowledge;
         if let Some(event) = event {
             self.relay_log.append(event);
         }
--- a/crates/flaxdeck-control/src/planner/guidance.rs
+++ b/crates/flaxdeck-control/src/planner/guidance.rs
@@ -3,6 +3,7 @@
 use flaxdeck::Time;
 
 use super::{Planner, REPUBLISH_AFTER};
+use crate::COORDINATOR_TIMEOUT;
 use crate::messages::{
     Envelope, Epoch, Guidance, MAX_RATINGS, MAX_ROUTINE_RATINGS, Rating, Sample, Stamp, ceil_ms,
 };
@@ -72,9 +73,10 @@
         Guidance {
             envelope,
             coordinator_ago_ms: self
-                .coordinator_heard
-                .map(|heard| ceil_ms(now.since(heard))),
-            coordinator_position: self.is_current.then(|| self.relay_log.last()),
+                .coordinator_knowledge
+                .complete_as_of
+                .map(|as_of| ceil_ms(now.since(as_of.time()))),
+            coordinator_position: self.seems_caught_up(now).then(|| self.relay_log.last()),
             version,
             after,
             events,
@@ -84,6 +86,17 @@
         }
     }
 
+    /// Returns whether the planner seems to have all events. Until the first heartbeat shows that it has, this holds
+    /// only while the coordinator is heard; from then on forwarders judge by the age of the heartbeat.
+    fn seems_caught_up(&self, now: Time) -> bool {
+        let knowledge = self.coordinator_knowledge;
+        let is_heard = || {
+            self.coordinator_heard
+                .is_some_and(|heard| now.since(heard) < COORDINATOR_TIMEOUT)
+        };
+        knowledge.is_caught_up && (knowledge.complete_as_of.is_some() || is_heard())
+    }
+
     /// Returns the ratings that changed since the version that a forwarder has, limited to what one guidance may hold.
     fn changed_ratings(&self, now: Time, since: u64, subscribes: bool) -> ChangedRatings {
         let changes = self.changes.range(since + 1..);
--- a/crates/flaxdeck-control/tests/common/mod.rs
+++ b/crates/flaxdeck-control/tests/common/mod.rs
@@ -7,7 +7,10 @@
     reason = "a failed expectation fails the test"
 )]
 
-use flaxdeck::{HostId, Observation, SourceMeasurements, Span, Time, WarmupUsage};
+use flaxdeck::{
+    CompleteAsOf, CoordinatorKnowledge, HostId, Observation, SourceMeasurements, Span, Time,
+    WarmupUsage,
+};
 use flaxdeck_control::forwarder::{ForwarderOptions, ForwarderSession};
 use flaxdeck_control::membership::PlannerId;
 use flaxdeck_control::messages::{Epoch, Report, SlotId};
@@ -32,6 +35,11 @@
     Time::at_ms(1_000_000.0 + ms as f64)
 }
 
+/// A process that has all of the coordinator's events as of that time.
+pub(crate) fn complete(as_of: Time) -> CoordinatorKnowledge {
+    CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(as_of))
+}
+
 pub(crate) fn lease_terms() -> LeaseTerms {
     LeaseTerms::new(Span::from_ms(WINDOW_MS), Span::from_ms(1_200), 10)
 }
--- a/crates/flaxdeck-control/tests/guidance.rs
+++ b/crates/flaxdeck-control/tests/guidance.rs
@@ -8,8 +8,8 @@
 
 mod common;
 
-use common::{PLANNER, at, options, planner, position, round_trip};
-use flaxdeck::{Sampled, ZoneId};
+use common::{PLANNER, at, complete, options, planner, position, round_trip};
+use flaxdeck::{CaughtUpAt, Sampled, ZoneId};
 use flaxdeck_control::forwarder::{ForwarderSession, Freshness};
 use flaxdeck_control::messages::{Epoch, RelayedEvent};
 use flaxdeck_control::planner::Planner;
@@ -24,7 +24,7 @@
                 position: position(number),
                 frame: vec![number as u8],
             }),
-            true,
+            complete(at(number)),
         );
     }
     planner.coordinator_heard(
@@ -33,7 +33,7 @@
             position: position(4),
             frame: vec![9],
         }),
-        true,
+        complete(at(5)),
     );
     let mut forwarder = ForwarderSession::start(at(0), Epoch(10), options(), 1);
     let numbers = |events: Vec<RelayedEvent>| {
@@ -88,7 +88,7 @@
             position: position(missing + 1),
             frame: vec![],
         }),
-        true,
+        complete(at(36)),
     );
     planner
 }
@@ -96,15 +96,15 @@
 #[test]
 fn freshness_degrades_in_steps_as_guidance_ages() {
     let mut planner = planner(at(0), 1, 0.0);
-    planner.coordinator_heard(at(0), None, true);
+    planner.coordinator_heard(at(0), None, complete(at(0)));
     let mut forwarder = ForwarderSession::start(at(0), Epoch(10), options(), 1);
     round_trip(at(100), &mut forwarder, &mut planner, &[]);
     assert_eq!(forwarder.freshness(at(200)), Freshness::Guided);
-    forwarder.coordinator_heard(at(1_500));
+    forwarder.note_caught_up(CaughtUpAt::new(at(1_500)));
     assert_eq!(forwarder.freshness(at(1_500)), Freshness::Aging);
     assert_eq!(forwarder.freshness(at(4_000)), Freshness::Unconfirmed);
     assert!(!forwarder.hints(at(4_000)).list_trusted);
-    forwarder.coordinator_heard(at(10_500));
+    forwarder.note_caught_up(CaughtUpAt::new(at(10_500)));
     assert_eq!(forwarder.freshness(at(10_500)), Freshness::Standalone);
     assert!(forwarder.hints(at(10_500)).list_trusted);
 }
--- a/crates/flaxdeck-control/tests/report_suppression.rs
+++ b/crates/flaxdeck-control/tests/report_suppression.rs
@@ -7,7 +7,10 @@
     reason = "a failed expectation fails the test"
 )]
 
-use flaxdeck::{HostId, Observation, SourceMeasurements, Span, Time, WarmupUsage};
+use flaxdeck::{
+    CompleteAsOf, CoordinatorKnowledge, HostId, Observation, SourceMeasurements, Span, Time,
+    WarmupUsage,
+};
 use flaxdeck_control::forwarder::{ForwarderOptions, ForwarderSession};
 use flaxdeck_control::membership::PlannerId;
 use flaxdeck_control::messages::{Epoch, MAX_ROUTINE_RATINGS, RelayedEvent, SlotId};
@@ -221,7 +224,11 @@
         position: EventPosition { number: 2, hash: 2 },
         frame: vec![0],
     };
-    planner.coordinator_heard(at(10), Some(event), true);
+    planner.coordinator_heard(
+        at(10),
+        Some(event),
+        CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(at(10))),
+    );
     assert!(planner.unsolicited_guidance(at(10), Epoch(10)).is_none());
     assert_eq!(
         planner
--- a/crates/flaxdeck-dispatcher/src/control.rs
+++ b/crates/flaxdeck-dispatcher/src/control.rs
@@ -136,7 +136,12 @@
     let mut previous = restore(directory, clock, configured, lease_wait);
     let mut events = std::mem::take(&mut previous.events);
     match previous.position {
-        Some(position) => numbering.borrow_mut().restore(clock.now(), position),
+        Some(position) => {
+            if position.number > configured.number {
+                router.note_outdated_configuration();
+            }
+            numbering.borrow_mut().restore(clock.now(), position);
+        }
         None => events.extend(configured_events.into_iter().map(|(_, event)| event)),
     }
     let position = numbering.borrow().last();
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/delivery.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/delivery.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use flaxdeck::polled::Input;
-use flaxdeck::{GroupId, ObjectId, Time};
+use flaxdeck::{CompleteAsOf, GroupId, ObjectId, Time};
 use flaxdeck_channel::messages::FromForwarder;
 use flaxdeck_channel::watch::Event;
 use flaxdeck_control::membership::PlannerId;
@@ -137,9 +137,7 @@
                 }
             }
         }
-        if let Some(confirmed_at) = subscription.confirmed_at() {
-            self.events_known_at(router, confirmed_at);
-        }
+        self.note_planner_knowledge(router, subscription);
         self.update_subscription(router, subscription);
     }
 
@@ -206,11 +204,11 @@
         let Some(events) = decode_all(&batch.events, &router.names) else {
             return self.reject_unreadable(subscription, now, after);
         };
-        let confirmed_at = subscription.confirmed_at();
+        let complete_at = subscription.complete_as_of().map(CompleteAsOf::time);
         let follows = self
             .numbering
             .borrow_mut()
-            .accept_batch(now, after, upto, confirmed_at);
+            .accept_batch(now, after, upto, complete_at);
         if !follows {
             return subscription.reset_position(now, after);
         }
@@ -269,14 +267,14 @@
         }
     }
 
-    /// Called when the coordinator's own watch is current. Purges all copies if unsettled purges may be missing that
+    /// Called when the coordinator's own watch has caught up. Purges all copies if unsettled purges may be missing that
     /// the coordinator announced before this process started.
     pub(super) fn purge_if_earlier_purges_unknown(&self, router: &Router) {
         let Some(subscription) = &self.subscription else {
             return;
         };
         let now = router.clock.now();
-        if subscription.note_coordinator_current(now) {
+        if subscription.note_coordinator_caught_up(now) {
             count(Counter::copies_doubted);
             router.purge_all_copies(now);
         }
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/mod.rs
@@ -37,7 +37,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flaxdeck::{Endpoint, Span, Time};
+use flaxdeck::{CaughtUpAt, CoordinatorKnowledge, Endpoint, Span, Time};
 use flaxdeck_channel::authenticated::Key;
 use flaxdeck_channel::watch::{Event, ExpeditedReconnect, Watch};
 use flaxdeck_control::forwarder::{ForwarderOptions, ForwarderSession};
@@ -143,9 +143,14 @@
         let expedited_reconnect = watch.expedited_reconnect(!options.planners.is_empty());
         let now = router.clock.now();
         let count = options.planners.len();
-        options.limit_unconfirmed(router.engine.borrow().list_lifetime());
+        let list_lifetime = router.engine.borrow().list_lifetime();
+        options.limit_unconfirmed(list_lifetime);
         options.warn_of_late_events(router.engine.borrow().shortest_event_grace());
         let mut session = ForwarderSession::start(now, epoch, options.session, count as u32);
+        session.note_complete(watch.completeness().by_configuration(&router.clock));
+        if options.session.unconfirmed_limit.is_some() {
+            session.limit_list_lifetime(list_lifetime);
+        }
         let subscription = options.subscription.map(|subscription| {
             session.suppress_reports(subscription.report_idle_every);
             EventSubscription::start(now, count as u32, seed, subscription, router.purge_settles)
@@ -238,28 +243,55 @@
         self.coordinator_clock.is_live()
     }
 
-    /// Notes that all events are known that the coordinator had at that time. This confirms the endpoint list.
-    fn events_known_at(&self, router: &Router, at: Time) {
-        self.session.events_known_at(at);
+    /// Notes what the forwarder's own watch of the coordinator knows of its events.
+    pub(super) fn note_coordinator_knowledge(
+        &self,
+        router: &Router,
+        knowledge: CoordinatorKnowledge,
+    ) {
+        if knowledge.is_caught_up {
+            self.purge_if_earlier_purges_unknown(router);
+            let at = CaughtUpAt::new(router.clock.now());
+            self.session.note_caught_up(at);
+        }
+        if let Some(as_of) = knowledge.complete_as_of {
+            self.session.note_complete(as_of);
+        }
+        self.update_confirmation(router);
+    }
+
+    /// Notes what the planner that delivers the events knows of the coordinator's events.
+    fn note_planner_knowledge(&self, router: &Router, subscription: &EventSubscription) {
+        if let Some(at) = subscription.caught_up_at() {
+            self.session.note_caught_up(at);
+        }
+        if let Some(as_of) = subscription.complete_as_of() {
+            self.session.note_complete(as_of);
+        }
+        self.update_confirmation(router);
+    }
+
+    fn update_confirmation(&self, router: &Router) {
         if self.session.was_unconfirmed() {
             self.update_hints(router);
         }
         self.note_confirmation(router);
     }
 
-    /// Notes that the coordinator's own watch is current: all events that the coordinator had have been received.
-    pub(super) fn note_coordinator_current(&self, router: &Router) {
-        self.purge_if_earlier_purges_unknown(router);
-        self.events_known_at(router, router.clock.now());
-    }
-
     /// Updates the startup phase if the endpoint list is confirmed by now.
     fn note_confirmation(&self, router: &Router) {
-        if self.session.is_confirmed() {
-            self.startup.list_confirmed(router.clock.now());
+        let now = router.clock.now();
+        if self.session.is_confirmed(now) {
+            self.startup.list_confirmed(now);
         }
     }
 
+    /// Notes that this run starts with the state that an earlier run stored, up to an event after those of the
+    /// configuration. So the configuration did not hold all events, and nothing shows yet that the stored state does.
+    pub(super) fn note_outdated_configuration(&self) {
+        self.session.forget_completeness();
+    }
+
     /// Waits until clients may be accepted: when the endpoint list is confirmed, or after the wait that follows from
     /// the operator's file.
     pub(super) async fn wait_until_ready(&self, router: &Router) {
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/session.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/session.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 
-use flaxdeck::{Observation, PeerHints, Sampled, Span, Time, ZoneId};
+use flaxdeck::{CaughtUpAt, CompleteAsOf, Observation, PeerHints, Sampled, Span, Time, ZoneId};
 use flaxdeck_control::MessageError;
 use flaxdeck_control::forwarder::{ForwarderSession, Freshness};
 use flaxdeck_control::membership::PlannerId;
@@ -49,14 +49,26 @@
         self.state.borrow_mut().set_subscribed_to(planner);
     }
 
-    /// Notes that all events are known that the coordinator had at that time.
-    pub(super) fn events_known_at(&self, at: Time) {
-        self.state.borrow_mut().events_known_at(at);
+    /// Notes that no further event of the coordinator seemed to be on its way at that time.
+    pub(super) fn note_caught_up(&self, at: CaughtUpAt) {
+        self.state.borrow_mut().note_caught_up(at);
     }
 
-    /// Whether the coordinator or a planner that follows it has confirmed the endpoint list in this run.
-    pub(super) fn is_confirmed(&self) -> bool {
-        self.state.borrow().confirmed_at().is_some()
+    /// Notes that all events are known that the coordinator had as of that time.
+    pub(super) fn note_complete(&self, as_of: CompleteAsOf) {
+        self.state.borrow_mut().note_complete(as_of);
+    }
+
+    /// Notes that it is not known of any time that all of the coordinator's events are known.
+    pub(super) fn forget_completeness(&self) {
+        self.state.borrow_mut().forget_completeness();
+    }
+
+    /// Whether the coordinator or a planner that follows it was heard in this run, and the endpoint list may be relied
+    /// on.
+    pub(super) fn is_confirmed(&self, now: Time) -> bool {
+        let state = self.state.borrow();
+        state.has_contact() && state.is_confirmed(now)
     }
 
     /// Whether a live planner confirms the endpoint list now, so that a reconnect to the coordinator is not urgent.
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/stored_state.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/stored_state.rs
@@ -65,6 +65,13 @@
 }
 
 impl Router {
+    /// Notes that the state of an earlier run holds events after those of the configuration.
+    pub(crate) fn note_outdated_configuration(&self) {
+        if let Some(client) = self.control_client.get() {
+            client.note_outdated_configuration();
+        }
+    }
+
     /// Restores leases and hints from the state of an earlier run, whose events have already been applied, and starts
     /// to store the state of this run: first `events`, the state at `position`, then everything applied from now on. To
     /// be called once; without a control client nothing is stored.
--- a/crates/flaxdeck-dispatcher/src/routing/control_client/subscription.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/subscription.rs
@@ -3,7 +3,7 @@
 
 use std::cell::{Cell, RefCell};
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CaughtUpAt, CompleteAsOf, Span, Time};
 use flaxdeck_control::membership::PlannerId;
 use flaxdeck_distribution::messages::{Delivery, Subscription};
 use flaxdeck_distribution::{Applied, Cadence, DeliveryError, PlannerNumber, Subscriber};
@@ -82,9 +82,15 @@
         Some(needed)
     }
 
-    /// Returns the latest time, by the local clock, at which all of the coordinator's events were known; none if never.
-    pub(super) fn confirmed_at(&self) -> Option<Time> {
-        self.subscriber.borrow().confirmed_at()
+    /// Returns the latest time, by the local clock, at which no further event seemed to be on its way; none if never.
+    pub(super) fn caught_up_at(&self) -> Option<CaughtUpAt> {
+        self.subscriber.borrow().caught_up_at()
+    }
+
+    /// Returns the latest time, by the local clock, as of which all of the coordinator's events are known; none if
+    /// never.
+    pub(super) fn complete_as_of(&self) -> Option<CompleteAsOf> {
+        self.subscriber.borrow().complete_as_of()
     }
 
     /// Returns the planner whose deliveries this forwarder follows, if there is one.
@@ -170,9 +176,9 @@
         self.coordinator_need_changed.notify_one();
     }
 
-    /// Notes that the coordinator's own watch is current. Returns whether unsettled purges from before the start of
+    /// Notes that the coordinator's own watch has caught up. Returns whether unsettled purges from before the start of
     /// this process may be missing: unlike a planner, the coordinator does not send them again.
-    pub(super) fn note_coordinator_current(&self, now: Time) -> bool {
+    pub(super) fn note_coordinator_caught_up(&self, now: Time) -> bool {
         !self.knows_unsettled.replace(true) && now.since(self.started) < self.purge_settles
     }
 
--- a/crates/flaxdeck-dispatcher/src/routing/coordinator.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/coordinator.rs
@@ -41,13 +41,13 @@
     }
 
     fn apply_watch_event(&self, watch: &Watch, event: WatchEvent) {
-        let client = self.control_client.get().filter(|_| watch.is_current());
+        let client = self.control_client.get();
         match event {
-            WatchEvent::Heartbeat => {}
+            WatchEvent::Heartbeat | WatchEvent::CaughtUp => {}
             WatchEvent::Event {
                 position, event, ..
             } => {
-                if let Some(client) = client {
+                if let Some(client) = client.filter(|_| watch.is_live()) {
                     client.update_clock_offset(self, &event);
                 }
                 self.apply_event(position, event);
@@ -61,7 +61,7 @@
             }
         }
         if let Some(client) = client {
-            client.note_coordinator_current(self);
+            client.note_coordinator_knowledge(self, watch.knowledge(&self.clock));
         }
     }
 
--- a/crates/flaxdeck-dispatcher/src/routing/mod.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/mod.rs
@@ -138,7 +138,7 @@
     pub(crate) fn start_tasks(self: &Rc<Router>, watch: Watch) {
         if !self.is_guided() {
             self.tasks
-                .spawn(self.clone().follow_last_heard(watch.last_heard()));
+                .spawn(self.clone().follow_completeness(watch.completeness()));
         }
         self.tasks.spawn(self.clone().follow_coordinator(watch));
         self.tasks.spawn(self.clone().drive_ticks());
--- a/crates/flaxdeck-dispatcher/tests/descriptors.rs
+++ b/crates/flaxdeck-dispatcher/tests/descriptors.rs
@@ -99,6 +99,25 @@
     })
 }
 
+/// Ends the process, and checks that it counted neither accept errors nor broken invariants.
+fn assert_no_errors_counted(world: &World) {
+    world.terminate();
+    world.wait_for_log(&["counted: "]);
+    let log = world.log.lock().unwrap();
+    let counters = log.iter().rfind(|line| line.contains("counted: ")).unwrap();
+    let has_no_errors = ["accept_errors", "must_not_happen"]
+        .iter()
+        .all(|counter| !counters.contains(counter));
+    assert!(
+        has_no_errors,
+        "accept errors or broken invariants were counted: {counters}"
+    );
+    assert!(
+        counters.contains("clients_closed_silent") && counters.contains("clients_closed_idle"),
+        "no silent or no idle client was closed: {counters}"
+    );
+}
+
 #[test]
 fn the_watch_reconnects_in_time_and_attempts_go_on_while_idle_clients_fill_all_descriptors() {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
@@ -138,6 +157,8 @@
             took < MAX_RECONNECT_TIME + stalls.total(),
             "the event arrived {took:?} after the coordinator returned"
         );
+        // Confirms the endpoint list, which is not relied on for longer than some returns take.
+        coordinator.send_heartbeat();
         coordinator.end();
         reserved = reserve(coordinator_address);
     }
@@ -148,19 +169,5 @@
         served > 4 * CONCURRENT_REQUESTS as usize,
         "only {served} requests of the busy client were served"
     );
-    world.terminate();
-    world.wait_for_log(&["counted: "]);
-    let log = world.log.lock().unwrap();
-    let counters = log.iter().rfind(|line| line.contains("counted: ")).unwrap();
-    let has_no_errors = ["accept_errors", "must_not_happen"]
-        .iter()
-        .all(|counter| !counters.contains(counter));
-    assert!(
-        has_no_errors,
-        "accept errors or broken invariants were counted: {counters}"
-    );
-    assert!(
-        counters.contains("clients_closed_silent") && counters.contains("clients_closed_idle"),
-        "no silent or no idle client was closed: {counters}"
-    );
+    assert_no_errors_counted(&world);
 }
--- a/crates/flaxdeck-distribution/src/messages.rs
+++ b/crates/flaxdeck-distribution/src/messages.rs
@@ -88,9 +88,11 @@
 pub struct Delivery {
     /// The update itself.
     pub update: Update,
-    /// How long ago the planner last received anything from the coordinator, in milliseconds. Absent if the planner
-    /// does not know that it has all of the coordinator's events, or if the subscriber does not have all of the
-    /// planner's after this update.
+    /// With a batch: how long ago the planner certainly had all of the coordinator's events, by a heartbeat of the
+    /// coordinator, in milliseconds; [`u32::MAX`] if that is not known of any time. With a snapshot: how long ago the
+    /// planner last heard the coordinator, as the list in it replaces an older one, but does not show that no event is
+    /// missing. Absent if the planner does not seem to have all of the coordinator's events, or if the subscriber does
+    /// not have all of the planner's after this update.
     pub coordinator_ago_ms: Option<u32>,
 }
 
--- a/crates/flaxdeck-distribution/src/publisher.rs
+++ b/crates/flaxdeck-distribution/src/publisher.rs
@@ -12,7 +12,7 @@
 
 use std::collections::BTreeMap;
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CoordinatorKnowledge, Span, Time};
 use flaxdeck_recovery::EventPosition;
 
 use crate::cadence::Cadence;
@@ -91,10 +91,10 @@
     /// is still ahead of the current numbering.
     abandoned: Option<AbandonedLog>,
     subscribers: BTreeMap<SubscriberId, SubscriberState>,
-    /// When the last message from the coordinator was received; `has_all_events` says whether all of its events had
-    /// been received by then.
+    /// When the coordinator was last heard.
     coordinator_last_heard: Option<Time>,
-    has_all_events: bool,
+    /// What was known of its events then.
+    coordinator_knowledge: CoordinatorKnowledge,
     /// No subscriber is due before this time.
     next_due: Time,
     cache: Cache,
@@ -117,7 +117,7 @@
             abandoned: None,
             subscribers: BTreeMap::new(),
             coordinator_last_heard: None,
-            has_all_events: false,
+            coordinator_knowledge: CoordinatorKnowledge::default(),
             next_due: now,
             cache: Cache::default(),
             counters: Counters::default(),
@@ -167,28 +167,37 @@
         self.next_due = now;
     }
 
-    /// Records a message from the coordinator; `has_all_events` says whether all of its events have been received.
-    pub fn coordinator_heard(&mut self, now: Time, has_all_events: bool) {
+    /// Records what is known of the coordinator's events after a message from it.
+    pub fn coordinator_heard(&mut self, now: Time, knowledge: CoordinatorKnowledge) {
         let was_current = self.is_current(now);
         self.coordinator_last_heard = Some(now);
-        self.has_all_events = has_all_events;
-        if has_all_events && !was_current {
+        self.coordinator_knowledge = knowledge;
+        if self.is_current(now) && !was_current {
             self.next_due = now; // subscribers may be waiting for a snapshot
         }
     }
 
-    /// Returns whether the planner has all of the coordinator's events, as far as it can tell: it had them when it
-    /// received the coordinator's last message, and that is less than the timeout ago.
+    /// Returns whether the planner seems to have all of the coordinator's events: no further one seems to be on its way,
+    /// and the coordinator was heard less than the timeout ago.
     pub fn is_current(&self, now: Time) -> bool {
-        self.coordinator_ago_ms(now).is_some()
+        self.heard_ago_ms(now).is_some()
     }
 
-    fn coordinator_ago_ms(&self, now: Time) -> Option<u32> {
+    /// How long ago the coordinator was heard, if the planner seems to have all of its events.
+    fn heard_ago_ms(&self, now: Time) -> Option<u32> {
         let heard = self
             .coordinator_last_heard
-            .filter(|_| self.has_all_events)?;
+            .filter(|_| self.coordinator_knowledge.is_caught_up)?;
         let ago = now.since(heard);
-        (ago < COORDINATOR_TIMEOUT).then_some(ago.ms().ceil() as u32)
+        (ago < COORDINATOR_TIMEOUT).then_some(whole_ms(ago))
+    }
+
+    /// How long ago the planner certainly had all of the coordinator's events, if it seems to have them now;
+    /// [`u32::MAX`] if that is not known of any time.
+    fn complete_ago_ms(&self, now: Time) -> Option<u32> {
+        let complete_as_of = self.coordinator_knowledge.complete_as_of;
+        let ago_ms = complete_as_of.map_or(u32::MAX, |as_of| whole_ms(now.since(as_of.time())));
+        self.is_current(now).then_some(ago_ms)
     }
 
     /// Checks that the position can be continued from. A position of the previous numbering is reported as unknown, so
@@ -217,3 +226,8 @@
         &self.log
     }
 }
+
+/// Converts a span to whole milliseconds as used in messages, rounded up and at most [`u32::MAX`].
+fn whole_ms(span: Span) -> u32 {
+    span.ms().ceil().min(f64::from(u32::MAX)) as u32
+}
--- a/crates/flaxdeck-distribution/src/publisher/updates.rs
+++ b/crates/flaxdeck-distribution/src/publisher/updates.rs
@@ -33,7 +33,11 @@
         };
         // A subscriber that lacks events of this planner lacks events of the coordinator.
         let is_complete = position == Some(self.log.last());
-        let coordinator_ago_ms = self.coordinator_ago_ms(now).filter(|_| is_complete);
+        let ago_ms = match &update {
+            Update::Snapshot(_) => self.heard_ago_ms(now),
+            Update::Batch(_) | Update::Behind { .. } => self.complete_ago_ms(now),
+        };
+        let coordinator_ago_ms = ago_ms.filter(|_| is_complete);
         let subscriber = self.subscribers.get_mut(&id)?;
         subscriber.next_update = position.map_or(next_update, NextUpdate::EventsAfter);
         subscriber.is_unanswered = false;
@@ -82,7 +86,7 @@
         }
     }
 
-    /// Returns a snapshot if this planner has all of the coordinator's events, and `Behind` otherwise. A planner that
+    /// Returns a snapshot if this planner seems to have the coordinator's latest list, and `Behind` otherwise. A planner that
     /// has lost the coordinator may have an older list than the subscriber, and its snapshot would return a removed
     /// host to service.
     fn snapshot(&mut self, now: Time, encode_full_list: &mut dyn FnMut(u64) -> Vec<u8>) -> Update {
--- a/crates/flaxdeck-distribution/src/subscriber.rs
+++ b/crates/flaxdeck-distribution/src/subscriber.rs
@@ -21,7 +21,7 @@
 mod requests;
 mod selection;
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CaughtUpAt, CompleteAsOf, Span, Time};
 use flaxdeck_recovery::EventPosition;
 
 use crate::cadence::Cadence;
@@ -118,7 +118,8 @@
     /// When a planner first answered that it does not know the position, since the position last changed.
     behind_since: Option<Time>,
     coordinator_need: CoordinatorNeed,
-    confirmed_at: Option<Time>,
+    caught_up_at: Option<CaughtUpAt>,
+    complete_as_of: Option<CompleteAsOf>,
     /// Counts since the start.
     pub counters: Counters,
 }
@@ -147,7 +148,8 @@
             silent_failovers: 0,
             behind_since: None,
             coordinator_need: CoordinatorNeed::new(now, cadence, preference, planners),
-            confirmed_at: None,
+            caught_up_at: None,
+            complete_as_of: None,
             counters: Counters::default(),
         }
     }
@@ -162,10 +164,16 @@
         self.followed
     }
 
-    /// Returns the latest time, by the local clock, for which it is certain that all of the coordinator's events had
+    /// Returns the latest time, by the local clock, at which this forwarder stood at the last event of a planner to
+    /// which no further event seemed to be on its way; `None` if there is none.
+    pub fn caught_up_at(&self) -> Option<CaughtUpAt> {
+        self.caught_up_at
+    }
+
+    /// Returns the latest time, by the local clock, as of which it is certain that all of the coordinator's events have
     /// been applied here; `None` if there is none.
-    pub fn confirmed_at(&self) -> Option<Time> {
-        self.confirmed_at
+    pub fn complete_as_of(&self) -> Option<CompleteAsOf> {
+        self.complete_as_of
     }
 
     /// Returns whether events have to be received directly from the coordinator: no planner has delivered for a short
--- a/crates/flaxdeck-distribution/src/subscriber/deliveries.rs
+++ b/crates/flaxdeck-distribution/src/subscriber/deliveries.rs
@@ -1,6 +1,6 @@
 //! Applies deliveries of planners to a subscriber.
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CaughtUpAt, CompleteAsOf, Span, Time};
 use flaxdeck_recovery::EventPosition;
 
 use super::checks::{check_batch, check_snapshot};
@@ -195,7 +195,7 @@
         self.counters.incomplete_snapshots += u64::from(may_miss_purges);
         self.set_position(now, position);
         self.record_useful_delivery(now, from);
-        self.confirm(now, from, ago_ms);
+        self.note_caught_up(self.earliest_write_time(now, from) - span_from_ms(known_ago_ms));
         Ok(Applied::Snapshot {
             list,
             purges,
@@ -261,12 +261,23 @@
         }
     }
 
-    /// Advances the confirmed time: all of the planner's events are applied here, and `ago_ms` before the delivery was
-    /// written the planner had all of the coordinator's.
+    /// Records what a batch says of the planner, all of whose events are applied here: it seemed to have all of the
+    /// coordinator's when it wrote the batch, and certainly had them `ago_ms` before.
     fn confirm(&mut self, now: Time, from: PlannerNumber, ago_ms: Option<u32>) {
         let Some(ago_ms) = ago_ms else { return };
+        let written = self.earliest_write_time(now, from);
+        self.note_caught_up(written);
+        let as_of = CompleteAsOf::by_planner(written - span_from_ms(ago_ms));
+        self.complete_as_of = self.complete_as_of.max(Some(as_of));
+    }
+
+    fn note_caught_up(&mut self, at: Time) {
+        self.caught_up_at = self.caught_up_at.max(Some(CaughtUpAt::new(at)));
+    }
+
+    /// Returns when a planner wrote the delivery that was received at `now`, at the earliest.
+    fn earliest_write_time(&self, now: Time, from: PlannerNumber) -> Time {
         let echoed = self.planner(from).echoed_send_time;
-        let written = echoed.map_or(now - MAX_TRANSIT, |sent| sent.min(now));
-        self.confirmed_at = self.confirmed_at.max(Some(written - span_from_ms(ago_ms)));
+        echoed.map_or(now - MAX_TRANSIT, |sent| sent.min(now))
     }
 }
--- a/crates/flaxdeck-distribution/tests/distribution_model/transitions.rs
+++ b/crates/flaxdeck-distribution/tests/distribution_model/transitions.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 
-use flaxdeck::Time;
+use flaxdeck::{CompleteAsOf, CoordinatorKnowledge, Time};
 use flaxdeck_distribution::messages::{Delivery, Subscription, Update};
 use flaxdeck_distribution::{
     Applied, Cadence, PlannerNumber, Publisher, Retention, Subscriber, SubscriberId,
@@ -51,7 +51,10 @@
             _ => entry.publisher.restart_numbering(now, coordinator.last()),
         }
         entry.followed = Some((current, coordinator.events.len()));
-        entry.publisher.coordinator_heard(now, true);
+        entry.publisher.coordinator_heard(
+            now,
+            CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(now)),
+        );
     }
 
     pub(crate) fn receive_request(
@@ -64,7 +67,10 @@
         let now = state.now();
         let entry = &mut state.planners[planner];
         if self.mutation == Mutation::SnapshotWhileNotCurrent {
-            entry.publisher.coordinator_heard(now, true);
+            entry.publisher.coordinator_heard(
+                now,
+                CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(now)),
+            );
         }
         let subscription = match subscription {
             Subscription::After(position) if self.mutation == Mutation::HashNotCompared => {
--- a/crates/flaxdeck-distribution/tests/figures.rs
+++ b/crates/flaxdeck-distribution/tests/figures.rs
@@ -10,7 +10,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CompleteAsOf, CoordinatorKnowledge, Span, Time};
 use flaxdeck_distribution::messages::{Batch, Delivery, FullEvent, Subscription, Update};
 use flaxdeck_distribution::{
     Applied, Cadence, Content, Fingerprint, PlannerNumber, Publisher, Retention, Subscriber,
@@ -28,6 +28,11 @@
 /// Length of the coordinator's frame for one host change, the same as in the emulator.
 const CHANGE_BYTES: usize = 120;
 
+/// A planner that has all of the coordinator's events as of that time.
+fn complete(as_of: Time) -> CoordinatorKnowledge {
+    CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(as_of))
+}
+
 fn at(ms: u64) -> Time {
     Time::at_ms((1_000_000 + ms) as f64)
 }
@@ -132,7 +137,7 @@
     fn emit_events(&mut self, ms: u64) {
         if ms.is_multiple_of(1_000) {
             for publisher in &mut self.publishers {
-                publisher.coordinator_heard(at(ms), true);
+                publisher.coordinator_heard(at(ms), complete(at(ms)));
             }
         }
         if ms.is_multiple_of(PURGE_INTERVAL_MS) {
@@ -153,7 +158,7 @@
             .insert(self.last.number, EmittedEvent { ms, kind });
         for publisher in &mut self.publishers {
             publisher.append_event(at(ms), self.last, content.clone());
-            publisher.coordinator_heard(at(ms), true);
+            publisher.coordinator_heard(at(ms), complete(at(ms)));
         }
     }
 
--- a/crates/flaxdeck-distribution/tests/publisher.rs
+++ b/crates/flaxdeck-distribution/tests/publisher.rs
@@ -8,7 +8,7 @@
 
 use std::collections::BTreeMap;
 
-use flaxdeck::Time;
+use flaxdeck::{CompleteAsOf, CoordinatorKnowledge, Time};
 use flaxdeck_distribution::messages::{Batch, Delivery, MAX_PURGES, Subscription, Update};
 use flaxdeck_distribution::{Cadence, Content, Fingerprint, Publisher, Retention, SubscriberId};
 use flaxdeck_recovery::EventPosition;
@@ -18,6 +18,11 @@
     hash: 1,
 };
 
+/// A planner that has all of the coordinator's events as of that time.
+fn complete(as_of: Time) -> CoordinatorKnowledge {
+    CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(as_of))
+}
+
 fn at(ms: u64) -> Time {
     Time::at_ms(100_000.0 + ms as f64)
 }
@@ -39,7 +44,7 @@
 
 fn publisher() -> Publisher {
     let mut publisher = Publisher::start(at(0), Cadence::default(), Retention::default(), BASE);
-    publisher.coordinator_heard(at(0), true);
+    publisher.coordinator_heard(at(0), complete(at(0)));
     publisher
 }
 
@@ -53,7 +58,7 @@
     let mut sent = Vec::new();
     for ms in ms {
         if ms % 500 == 0 {
-            publisher.coordinator_heard(at(ms), true);
+            publisher.coordinator_heard(at(ms), complete(at(ms)));
         }
         for (_, number, content) in events.iter().filter(|(when, ..)| *when == ms) {
             publisher.append_event(at(ms), position(*number), content.clone());
@@ -179,7 +184,7 @@
     publisher.subscribe(at(0), quick, Subscription::After(BASE));
     let (mut slow_batches, mut quick_batches, mut reported) = (Vec::new(), 0, 0);
     for ms in 0..6_000 {
-        publisher.coordinator_heard(at(ms), true);
+        publisher.coordinator_heard(at(ms), complete(at(ms)));
         publisher.append_event(at(ms), position(11 + ms), purge(ms));
         for id in publisher.due(at(ms)) {
             if id == slow && !(5_000..5_600).contains(&ms) {
@@ -242,9 +247,9 @@
     };
     let behind = Update::Behind { last: position(11) };
     assert_eq!(next_update(&mut publisher, 200).unwrap().update, behind);
-    publisher.coordinator_heard(at(300), false);
+    publisher.coordinator_heard(at(300), CoordinatorKnowledge::default());
     assert_eq!(next_update(&mut publisher, 1_200).unwrap().update, behind);
-    publisher.coordinator_heard(at(1_400), true);
+    publisher.coordinator_heard(at(1_400), complete(at(1_400)));
     let delivery = next_update(&mut publisher, 1_400).unwrap();
     let Update::Snapshot(snapshot) = delivery.update else {
         panic!("expected a snapshot, got {delivery:?}")
@@ -263,7 +268,7 @@
     );
     // The subscriber continues with batches after the snapshot.
     publisher.append_event(at(1_500), position(12), purge(2));
-    publisher.coordinator_heard(at(1_500), true);
+    publisher.coordinator_heard(at(1_500), complete(at(1_500)));
     let next = (1_501..2_500)
         .find_map(|ms| next_update(&mut publisher, ms))
         .unwrap();
@@ -312,7 +317,7 @@
     let mut next_update = |now: Time, position: EventPosition| {
         publisher.subscribe(now, SubscriberId(1), Subscription::After(position));
         let due = publisher.due(now);
-        publisher.coordinator_heard(now, true);
+        publisher.coordinator_heard(now, complete(now));
         publisher.update_for(now, due[0], &mut list).unwrap().update
     };
     assert!(
@@ -392,3 +397,41 @@
         "{bytes} bytes in 10 s for 1,000 subscribers"
     );
 }
+
+// Guards against a planner that confirms the lists of its forwarders after a pause in a slow backlog.
+#[test]
+fn batches_tell_the_age_of_the_last_heartbeat_to_a_planner_that_has_only_caught_up() {
+    let mut publisher = publisher();
+    publisher.subscribe(at(10), SubscriberId(1), Subscription::After(BASE));
+    publisher.coordinator_heard(
+        at(9_000),
+        CoordinatorKnowledge {
+            is_caught_up: true,
+            ..complete(at(0))
+        },
+    );
+    assert_eq!(publisher.due(at(9_000)), [SubscriberId(1)]);
+    let delivery = publisher
+        .update_for(at(9_000), SubscriberId(1), &mut list)
+        .unwrap();
+    assert_eq!(batch(&delivery).last, BASE);
+    assert_eq!(delivery.coordinator_ago_ms, Some(9_000));
+}
+
+#[test]
+fn a_planner_without_a_heartbeat_since_its_start_tells_that_it_was_never_complete() {
+    let mut publisher = Publisher::start(at(0), Cadence::default(), Retention::default(), BASE);
+    publisher.subscribe(at(10), SubscriberId(1), Subscription::After(BASE));
+    publisher.coordinator_heard(
+        at(40),
+        CoordinatorKnowledge {
+            is_caught_up: true,
+            complete_as_of: None,
+        },
+    );
+    assert_eq!(publisher.due(at(40)), [SubscriberId(1)]);
+    let delivery = publisher
+        .update_for(at(40), SubscriberId(1), &mut list)
+        .unwrap();
+    assert_eq!(delivery.coordinator_ago_ms, Some(u32::MAX));
+}
--- a/crates/flaxdeck-distribution/tests/safe_side/planner.rs
+++ b/crates/flaxdeck-distribution/tests/safe_side/planner.rs
@@ -1,6 +1,6 @@
 //! A planner that receives the coordinator's events late or not at all.
 
-use flaxdeck::Span;
+use flaxdeck::{CompleteAsOf, CoordinatorKnowledge, Span};
 use flaxdeck_distribution::{Cadence, Publisher, Retention};
 use flaxdeck_recovery::EventPosition;
 use rand::Rng;
@@ -71,6 +71,9 @@
             Some((coordinator.numbering, coordinator.events.len())),
             coordinator.last().hosts,
         );
-        self.publisher.coordinator_heard(now, true);
+        self.publisher.coordinator_heard(
+            now,
+            CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(now)),
+        );
     }
 }
--- a/crates/flaxdeck-distribution/tests/safe_side/world.rs
+++ b/crates/flaxdeck-distribution/tests/safe_side/world.rs
@@ -276,7 +276,8 @@
         let confirmed_at = self
             .forwarder
             .subscriber
-            .confirmed_at()
+            .complete_as_of()
+            .map(flaxdeck::CompleteAsOf::time)
             .filter(|_| !self.schedule.restores);
         let confirmed = |event: &Event| {
             confirmed_at.is_some_and(|confirmed_at| {
@@ -320,7 +321,8 @@
         let Some(confirmed_at) = self
             .forwarder
             .subscriber
-            .confirmed_at()
+            .complete_as_of()
+            .map(flaxdeck::CompleteAsOf::time)
             .filter(|_| !self.schedule.restores)
         else {
             return Ok(());
--- a/crates/flaxdeck-distribution/tests/subscriber/coordinator.rs
+++ b/crates/flaxdeck-distribution/tests/subscriber/coordinator.rs
@@ -1,6 +1,6 @@
 //! When events have to be received from the coordinator itself, and the time for which the state is confirmed.
 
-use flaxdeck::Span;
+use flaxdeck::{CompleteAsOf, Span};
 use flaxdeck_distribution::messages::Delivery;
 use flaxdeck_distribution::{Cadence, Subscriber};
 
@@ -160,13 +160,13 @@
 #[test]
 fn the_confirmed_time_is_that_of_the_coordinators_last_message_to_an_up_to_date_planner() {
     let mut subscriber = connected_subscriber(10);
-    assert_eq!(subscriber.confirmed_at(), None);
+    assert_eq!(subscriber.complete_as_of(), None);
     subscriber
         .receive(at(1_000), FIRST, batch_delivery(purge_batch(10, 11)))
         .unwrap();
     assert_eq!(
-        subscriber.confirmed_at(),
-        Some(at(460)),
+        subscriber.complete_as_of(),
+        Some(CompleteAsOf::by_planner(at(460))),
         "40 ms before the delivery was written, which is assumed to be 500 ms before now"
     );
     subscriber.record_echo(FIRST, at(1_900));
@@ -174,8 +174,8 @@
         .receive(at(2_000), FIRST, batch_delivery(purge_batch(11, 11)))
         .unwrap();
     assert_eq!(
-        subscriber.confirmed_at(),
-        Some(at(1_860)),
+        subscriber.complete_as_of(),
+        Some(CompleteAsOf::by_planner(at(1_860))),
         "the echo provides the time before which the delivery was not written"
     );
     let not_current = Delivery {
@@ -183,5 +183,8 @@
         ..batch_delivery(purge_batch(11, 12))
     };
     subscriber.receive(at(5_000), FIRST, not_current).unwrap();
-    assert_eq!(subscriber.confirmed_at(), Some(at(1_860)));
+    assert_eq!(
+        subscriber.complete_as_of(),
+        Some(CompleteAsOf::by_planner(at(1_860)))
+    );
 }
--- a/crates/flaxdeck-distribution/tests/subscriber/invalid.rs
+++ b/crates/flaxdeck-distribution/tests/subscriber/invalid.rs
@@ -195,14 +195,14 @@
         },
     ) in cases.into_iter().enumerate()
     {
-        let before = (subscriber.position(), subscriber.confirmed_at());
+        let before = (subscriber.position(), subscriber.complete_as_of());
         assert_eq!(
             subscriber.receive(at(50), FIRST, batch_delivery(batch)),
             Err(DeliveryError::Invalid(error)),
             "{description}"
         );
         assert_eq!(
-            (subscriber.position(), subscriber.confirmed_at()),
+            (subscriber.position(), subscriber.complete_as_of()),
             before,
             "{description}"
         );
--- a/crates/flaxdeck-distribution/tests/subscriber/snapshots.rs
+++ b/crates/flaxdeck-distribution/tests/subscriber/snapshots.rs
@@ -1,6 +1,7 @@
 //! Which snapshots are requested, accepted and rejected.
 
-use flaxdeck_distribution::messages::{Batch, Snapshot, Subscription};
+use flaxdeck::{CompleteAsOf, Time};
+use flaxdeck_distribution::messages::{Batch, Delivery, Snapshot, Subscription};
 use flaxdeck_distribution::{Applied, Cadence, DeliveryError, Fingerprint, Subscriber};
 
 use super::support::{
@@ -40,6 +41,32 @@
     );
 }
 
+// A snapshot replaces an older list. Its time tells when the planner heard the coordinator, not that nothing is missing.
+#[test]
+fn a_snapshot_does_not_show_that_all_events_are_known() {
+    let mut subscriber = Subscriber::start(at(0), 1, 0, Cadence::default(), SETTLE_TIME);
+    subscriber.connected(at(0), FIRST);
+    subscriber.actions(at(0));
+    subscriber
+        .receive(at(30), FIRST, snapshot_delivery(snapshot(30), Some(900)))
+        .unwrap();
+    assert!(subscriber.caught_up_at().is_some());
+    assert_eq!(subscriber.complete_as_of(), None);
+    let never_complete = Delivery {
+        coordinator_ago_ms: Some(u32::MAX),
+        ..batch_delivery(single_purge_after(30))
+    };
+    subscriber.receive(at(90), FIRST, never_complete).unwrap();
+    assert_eq!(
+        subscriber.complete_as_of(),
+        Some(CompleteAsOf::by_planner(Time::default()))
+    );
+    subscriber
+        .receive(at(120), FIRST, batch_delivery(single_purge_after(31)))
+        .unwrap();
+    assert!(subscriber.complete_as_of() > Some(CompleteAsOf::by_planner(Time::default())));
+}
+
 fn single_purge_after(number: u64) -> Batch {
     purge_batch(number, number + 1)
 }
--- a/crates/flaxdeck-fleet/src/model/coordinator.rs
+++ b/crates/flaxdeck-fleet/src/model/coordinator.rs
@@ -1,8 +1,8 @@
 //! The coordinator, whose events arrive with a delay, and the host changes that it publishes.
 
 use flaxdeck::{
-    AttemptOutcome, CellId, Endpoint, FillOutcome, GroupId, Health, HostId, ListKind, Role, Time,
-    ZoneId,
+    AttemptOutcome, CaughtUpAt, CellId, Endpoint, FillOutcome, GroupId, Health, HostId, ListKind,
+    Role, Time, ZoneId,
 };
 use flaxdeck_invariants::RecordedEvent;
 use rand::Rng;
@@ -128,7 +128,7 @@
         }
         let now = time(self.now);
         if let Some(session) = &mut self.forwarders[forwarder].session {
-            session.coordinator_heard(now);
+            session.note_caught_up(CaughtUpAt::new(now));
         }
     }
 
--- a/crates/flaxdeck-fleet/src/model/planners.rs
+++ b/crates/flaxdeck-fleet/src/model/planners.rs
@@ -1,6 +1,6 @@
 //! Planners: the coordinator events and reports that they receive, and the guidance that they send.
 
-use flaxdeck::{Health, Span, ZoneId};
+use flaxdeck::{CompleteAsOf, CoordinatorKnowledge, Health, Span, ZoneId};
 use flaxdeck_control::LeaseTerms;
 use flaxdeck_control::membership::PlannerId;
 use flaxdeck_control::messages::{Guidance, RelayedEvent, Report};
@@ -57,7 +57,11 @@
             position: position(number),
             frame: number.to_be_bytes().to_vec(),
         };
-        self.planners[planner].coordinator_heard(now, Some(relayed), true);
+        self.planners[planner].coordinator_heard(
+            now,
+            Some(relayed),
+            CoordinatorKnowledge::complete(CompleteAsOf::by_heartbeat(now)),
+        );
     }
 
     /// Sends a forwarder's reports to the planners that it can reach, and schedules its next reports.
--- a/crates/flaxdeck-planner/src/coordinator.rs
+++ b/crates/flaxdeck-planner/src/coordinator.rs
@@ -10,7 +10,7 @@
 pub(crate) async fn follow(state: Rc<State>, mut watch: Watch) {
     loop {
         let relayed = match watch.next().await {
-            WatchEvent::Heartbeat => None,
+            WatchEvent::Heartbeat | WatchEvent::CaughtUp => None,
             WatchEvent::Event {
                 position,
                 frame,
@@ -31,6 +31,6 @@
                 None
             }
         };
-        state.coordinator_heard(relayed, watch.is_current());
+        state.coordinator_heard(relayed, &watch);
     }
 }
--- a/crates/flaxdeck-planner/src/events.rs
+++ b/crates/flaxdeck-planner/src/events.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
-use flaxdeck::{Health, HostId, ListKind, Time};
+use flaxdeck::{CoordinatorKnowledge, Health, HostId, ListKind, Time};
 use flaxdeck_channel::watch::Event;
 use flaxdeck_distribution::messages::{Delivery, Subscription};
 use flaxdeck_distribution::publisher::Counters;
@@ -90,10 +90,9 @@
         self.publisher.append_event(now, position, content);
     }
 
-    /// Records that the coordinator sent an event or a heartbeat. `is_current` is true if all of its events have been
-    /// received.
-    pub(crate) fn coordinator_heard(&mut self, now: Time, is_current: bool) {
-        self.publisher.coordinator_heard(now, is_current);
+    /// Records what is known of the coordinator's events.
+    pub(crate) fn coordinator_heard(&mut self, now: Time, knowledge: CoordinatorKnowledge) {
+        self.publisher.coordinator_heard(now, knowledge);
     }
 
     /// Starts, changes or ends a forwarder's subscription.
--- a/crates/flaxdeck-planner/src/state.rs
+++ b/crates/flaxdeck-planner/src/state.rs
@@ -8,7 +8,7 @@
 use flaxdeck::{Health, ListKind, Time};
 use flaxdeck_channel::connection::Sender;
 use flaxdeck_channel::messages::FromPlanner;
-use flaxdeck_channel::watch::Event;
+use flaxdeck_channel::watch::{Event, Watch};
 use flaxdeck_control::messages::{Epoch, RelayedEvent, Report};
 use flaxdeck_control::planner::Planner;
 use flaxdeck_distribution::SubscriberId;
@@ -126,15 +126,16 @@
         }
     }
 
-    /// Records that the coordinator sent an event or a heartbeat, and relays an event to the connected forwarders.
-    /// `is_current` is true if all of the coordinator's events have been received.
-    pub(crate) fn coordinator_heard(&self, event: Option<RelayedEvent>, is_current: bool) {
+    /// Records what is known of the coordinator's events after the watch has reported something, and relays an event to
+    /// the connected forwarders.
+    pub(crate) fn coordinator_heard(&self, event: Option<RelayedEvent>, watch: &Watch) {
         let now = self.clock.now();
+        let knowledge = watch.knowledge(&self.clock);
         let has_event = event.is_some();
         self.planner
             .borrow_mut()
-            .coordinator_heard(now, event, is_current);
-        self.events.borrow_mut().coordinator_heard(now, is_current);
+            .coordinator_heard(now, event, knowledge);
+        self.events.borrow_mut().coordinator_heard(now, knowledge);
         if has_event {
             self.push_guidance();
         }
--- a/crates/flaxdeck-recovery/src/live_edge.rs
+++ b/crates/flaxdeck-recovery/src/live_edge.rs
@@ -1,9 +1,10 @@
-//! Detects when a stream of events has caught up with the present.
+//! Detects when a stream of events seems to have caught up with the present.
 //!
-//! An instance that starts or reconnects first receives a backlog of past events, and the protocol does not mark its
-//! end. Where events are rare, a pause shows the end; at hundreds of events a second there is no pause. But a backlog
-//! arrives faster than its events happened: once the timestamps of the events advance no faster than the local time,
-//! the stream is live. Only rates are compared, so an offset between the two clocks does not matter.
+//! An instance that starts or reconnects first receives a backlog of past events, and the protocol marks its end only by
+//! the next heartbeat. Where events are rare, a pause suggests the end; at hundreds of events a second there is no pause.
+//! But a backlog usually arrives faster than its events happened: once the timestamps of the events advance no faster
+//! than the local time, the stream seems live. That is a guess, as a coordinator may send a backlog slowly. Only rates
+//! are compared, so an offset between the two clocks does not matter.
 
 use flaxdeck::{Span, Time};
 
@@ -29,7 +30,7 @@
 
 impl LiveEdge {
     /// Records an event that arrived at `now` and happened at `happened` by the coordinator's clock. Returns whether
-    /// the stream is found to be live.
+    /// the stream seems live.
     pub fn record_event(&mut self, now: Time, happened: Time) -> bool {
         let next = Reference {
             arrived: now,
--- a/crates/flaxdeck-recovery/src/numbering.rs
+++ b/crates/flaxdeck-recovery/src/numbering.rs
@@ -3,23 +3,24 @@
 //! The number of an event does not identify it: a coordinator that restarted, or was restored from a backup, reuses
 //! numbers for other events. So each connection requests the events from the last known one on, and the first event
 //! received has to match that one in number and hash, which proves the numbering. The coordinator sends it at once, so
-//! an instance that starts also learns that it is current long before the coordinator's next heartbeat.
+//! an instance that starts has caught up long before the coordinator's next heartbeat. Only that heartbeat shows that
+//! no event is missing.
 
 mod action;
 mod connection;
 mod peers;
 mod recent_events;
 
-use flaxdeck::{Span, Time};
+use flaxdeck::{CompleteAsOf, Span, Time};
 
-pub use action::{EventAction, EventPosition, MissedPeriod, ReconnectReason};
+pub use action::{EventAction, EventPosition, Heartbeat, MissedPeriod, ReconnectReason};
 use connection::{AwaitedEvents, Connection};
 pub use recent_events::MAX_RECENT_EVENTS;
 use recent_events::RecentEvents;
 
-/// Time without further events after which all events of the coordinator count as received. The protocol marks the end
-/// of a burst only by the heartbeat a second later. A burst that stalls for longer than this counts as two.
-const CURRENT_AFTER_IDLE: Span = Span::from_ms(30);
+/// Time without further events after which the instance counts as caught up. That is a guess, as a burst may stall for
+/// longer: only a heartbeat shows that the instance is complete.
+const CAUGHT_UP_AFTER_IDLE: Span = Span::from_ms(30);
 
 /// Time within which the coordinator has to send the last known event. It sends it at once if it has it, so if nothing
 /// comes within the time of a slow round trip and a preceding burst, the coordinator lacks the event; its heartbeat
@@ -38,10 +39,12 @@
     connection: Option<Connection>,
     /// The next connection requests all events, beginning with a full list.
     requests_all: bool,
-    /// When this instance last had all events. None if it never had in this run, so that its state is only that of the
-    /// configuration.
+    /// Since when events may be missed if the numbering changes. None if the state is only that of the configuration.
     confirmed_at: Option<Time>,
-    /// The last proven connection neither timed out nor was paused on this side.
+    /// As of when a heartbeat of this run has shown that all events are known.
+    complete_as_of: Option<CompleteAsOf>,
+    /// The last proven connection had brought all events that there were by a heartbeat, and neither timed out nor was
+    /// paused on this side.
     closed_cleanly: bool,
     /// The last connection timed out or was paused: until a frame arrives, the coordinator may be hung rather than
     /// restarted.
@@ -61,6 +64,7 @@
             connection: None,
             requests_all: false,
             confirmed_at: None,
+            complete_as_of: None,
             closed_cleanly: false,
             may_be_hung: false,
             trusts_numbers: false,
@@ -94,11 +98,16 @@
         self.last
     }
 
-    /// Returns when this instance last had all events; none if it never had in this run.
+    /// Returns since when events may be missed if the numbering changes; none if only the configuration is known.
     pub fn confirmed_at(&self) -> Option<Time> {
         self.confirmed_at
     }
 
+    /// Returns as of when a heartbeat of this run has shown that all events are known.
+    pub fn complete_as_of(&self) -> Option<CompleteAsOf> {
+        self.complete_as_of
+    }
+
     /// Records that a connection was opened. Returns the number after which to request events.
     pub fn connection_opened(&mut self, now: Time) -> u64 {
         let requested_after = if self.trusts_numbers {
@@ -113,6 +122,7 @@
             is_proven: self.trusts_numbers,
             last_received: now,
             is_new: true,
+            is_live: false,
         });
         self.awaited = None;
         requested_after
@@ -122,12 +132,10 @@
     /// send: the connection timed out, or this side paused it while planners relay all events.
     pub fn connection_closed(&mut self, is_incomplete: bool) {
         self.may_be_hung = is_incomplete;
-        if self
-            .connection
-            .take()
-            .is_some_and(|connection| connection.is_proven)
+        if let Some(connection) = self.connection.take()
+            && connection.is_proven
         {
-            self.closed_cleanly = !is_incomplete;
+            self.closed_cleanly = connection.is_live && !is_incomplete;
         }
     }
 
@@ -161,8 +169,9 @@
             EventAction::Reconnect(_) => self.connection = None,
             EventAction::Skip => {}
         }
+        // An event shows that those before it are known, but nothing of those that follow.
         if self.is_proven() {
-            self.confirmed_at = Some(now);
+            self.confirmed_at.get_or_insert(now);
         }
         action
     }
@@ -285,30 +294,47 @@
     }
 
     /// Handles that the time of [`Numbering::proof_due`] has passed.
-    pub fn proof_overdue(&mut self, now: Time) -> EventAction {
+    pub fn proof_overdue(&mut self) -> EventAction {
         if self.is_proven() {
             // The coordinator may be slow or gone. The next connection requests the last event, and so shows whether
             // the coordinator has it.
             self.connection = None;
             return EventAction::Reconnect(ReconnectReason::Nothing);
         }
-        self.receive_heartbeat(now)
+        self.last_event_missing()
     }
 
-    /// Handles a heartbeat, which is an empty frame. On an unproven connection it means that the coordinator lacks the
-    /// last known event, and the connection has to be closed.
-    pub fn receive_heartbeat(&mut self, now: Time) -> EventAction {
+    /// Handles a heartbeat, which is an empty frame. On a proven connection it shows that all events are known, unless
+    /// it names a later one. On an unproven connection it means that the coordinator lacks the last known event, and
+    /// the connection has to be closed.
+    pub fn receive_heartbeat(&mut self, now: Time, heartbeat: Heartbeat) -> EventAction {
         let Some(connection) = &mut self.connection else {
             return EventAction::Skip;
         };
         connection.last_received = now;
+        if !connection.is_proven {
+            return self.last_event_missing();
+        }
         self.may_be_hung = false;
-        if connection.is_proven {
-            self.confirmed_at = Some(now);
-            return EventAction::Skip;
+        if heartbeat.number <= self.last.number {
+            connection.is_live = true;
+            self.note_complete(heartbeat.sent);
         }
+        EventAction::Skip
+    }
+
+    fn note_complete(&mut self, as_of: Time) {
+        self.confirmed_at = self.confirmed_at.max(Some(as_of));
+        self.complete_as_of = self
+            .complete_as_of
+            .max(Some(CompleteAsOf::by_heartbeat(as_of)));
+    }
+
+    /// Closes a connection on which the coordinator lacks the last known event.
+    fn last_event_missing(&mut self) -> EventAction {
         // If this connection already requested all events, the coordinator has no list yet. Reconnecting without a
         // pause would not help then.
+        self.may_be_hung = false;
         self.requests_all = true;
         self.connection = None;
         EventAction::Reconnect(ReconnectReason::Nothing)
@@ -331,19 +357,28 @@
             .is_some_and(|connection| connection.is_proven)
     }
 
-    /// Returns whether all events of the coordinator count as received: the connection is proven and has been idle for
-    /// long enough.
-    pub fn is_current(&self, now: Time) -> bool {
+    /// Returns whether a heartbeat on the current connection has shown that all events were known, so that later ones
+    /// arrive as they happen.
+    pub fn is_live(&self) -> bool {
+        self.connection
+            .as_ref()
+            .is_some_and(|connection| connection.is_live)
+    }
+
+    /// Returns whether no further event seems to be on its way: the connection is proven and has been idle for long
+    /// enough. This is a guess.
+    pub fn is_caught_up(&self, now: Time) -> bool {
         self.connection.as_ref().is_some_and(|connection| {
-            connection.is_proven && now.since(connection.last_received) >= CURRENT_AFTER_IDLE
+            connection.is_proven && now.since(connection.last_received) >= CAUGHT_UP_AFTER_IDLE
         })
     }
 
-    /// Returns when [`Numbering::is_current`] becomes true if nothing more is received; none on an unproven connection.
-    pub fn current_at(&self) -> Option<Time> {
+    /// Returns when [`Numbering::is_caught_up`] becomes true if nothing more is received; none on an unproven
+    /// connection.
+    pub fn caught_up_at(&self) -> Option<Time> {
         self.connection
             .as_ref()
             .filter(|connection| connection.is_proven)
-            .map(|connection| connection.last_received + CURRENT_AFTER_IDLE)
+            .map(|connection| connection.last_received + CAUGHT_UP_AFTER_IDLE)
     }
 }
--- a/crates/flaxdeck-recovery/src/numbering/action.rs
+++ b/crates/flaxdeck-recovery/src/numbering/action.rs
@@ -19,14 +19,24 @@
     pub const NONE: EventPosition = EventPosition { number: 0, hash: 0 };
 }
 
+/// An empty frame of the coordinator, which says that it has nothing new.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heartbeat {
+    /// The number in the frame, that of an event.
+    pub number: u64,
+    /// When the frame was sent at the earliest, which may be long before it was read.
+    pub sent: Time,
+}
+
 /// A period in which events may have been missed: from `since` until the full list that replaces the known state is
 /// applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MissedPeriod {
-    /// When the instance last had all events of the previous numbering; none if it never had.
+    /// As of when the instance last had all events of the previous numbering, or when it received the first one if it
+    /// never had all; none if it received none.
     pub since: Option<Time>,
-    /// The last proven connection neither timed out nor was paused on this side, so it delivered all events until it
-    /// closed.
+    /// A heartbeat on the last proven connection showed that all events were known, and the connection neither timed
+    /// out nor was paused on this side, so it delivered all events until it closed.
     pub closed_cleanly: bool,
 }
 
--- a/crates/flaxdeck-recovery/src/numbering/connection.rs
+++ b/crates/flaxdeck-recovery/src/numbering/connection.rs
@@ -13,6 +13,8 @@
     pub(super) last_received: Time,
     /// No event that follows the last known one has been received yet.
     pub(super) is_new: bool,
+    /// A heartbeat has shown that all events were known.
+    pub(super) is_live: bool,
 }
 
 /// Events relayed by peers that the coordinator still has to send on its connection.
--- a/crates/flaxdeck-recovery/src/numbering/peers.rs
+++ b/crates/flaxdeck-recovery/src/numbering/peers.rs
@@ -19,8 +19,8 @@
         }
         self.apply(now, position);
         // The peer follows the coordinator, so this instance now knows more than its configuration. If the numbering
-        // changes later, events may have been missed since now.
-        self.confirmed_at = Some(now);
+        // changes later, events may have been missed since.
+        self.confirmed_at.get_or_insert(now);
         if self.is_proven() && !self.trusts_numbers {
             self.awaited.get_or_insert(AwaitedEvents {
                 first: position.number,
--- a/crates/flaxdeck-recovery/tests/numbering.rs
+++ b/crates/flaxdeck-recovery/tests/numbering.rs
@@ -1,8 +1,10 @@
 //! Whether the coordinator still uses the known numbering, case by case.
 
-use flaxdeck::Time;
+use flaxdeck::{CompleteAsOf, Time};
 use flaxdeck_recovery::EventPosition;
-use flaxdeck_recovery::numbering::{EventAction, MissedPeriod, Numbering, ReconnectReason};
+use flaxdeck_recovery::numbering::{
+    EventAction, Heartbeat, MissedPeriod, Numbering, ReconnectReason,
+};
 
 fn at(ms: u64) -> Time {
     Time::at_ms(1_000.0 + ms as f64)
@@ -12,6 +14,13 @@
     EventPosition { number, hash }
 }
 
+fn heartbeat(number: u64, sent: u64) -> Heartbeat {
+    Heartbeat {
+        number,
+        sent: at(sent),
+    }
+}
+
 /// A numbering whose last known event is 20, proven by a connection at 1 ms.
 fn proven_at_20() -> Numbering {
     let mut numbering = Numbering::new(position(20, 7));
@@ -26,13 +35,13 @@
 #[test]
 fn receiving_the_last_event_again_proves_the_numbering_at_once() {
     let mut numbering = proven_at_20();
-    assert!(!numbering.is_current(at(1)) && numbering.is_current(at(40)));
+    assert!(!numbering.is_caught_up(at(1)) && numbering.is_caught_up(at(40)));
     assert_eq!(
         numbering.receive(at(50), position(21, 8), false),
         EventAction::Apply
     );
     assert!(
-        !numbering.is_current(at(51)),
+        !numbering.is_caught_up(at(51)),
         "more events may be in flight"
     );
     assert_eq!(
@@ -45,10 +54,11 @@
 #[test]
 fn a_restart_of_the_numbering_at_one_is_detected_at_once() {
     let mut numbering = proven_at_20();
+    numbering.receive_heartbeat(at(50), heartbeat(20, 49));
     numbering.connection_closed(false);
     numbering.connection_opened(at(100));
     let missed = MissedPeriod {
-        since: Some(at(1)),
+        since: Some(at(49)),
         closed_cleanly: true,
     };
     assert_eq!(
@@ -61,6 +71,46 @@
     );
 }
 
+// Guards against purges of a backlog that are missed because an orderly end of the connection counts as its end.
+#[test]
+fn events_may_be_missed_if_the_connection_closes_before_a_heartbeat() {
+    let mut numbering = proven_at_20();
+    assert_eq!(
+        numbering.receive(at(60), position(21, 8), false),
+        EventAction::Apply
+    );
+    numbering.connection_closed(false);
+    numbering.connection_opened(at(100));
+    let missed = MissedPeriod {
+        since: Some(at(1)),
+        closed_cleanly: false,
+    };
+    assert_eq!(
+        numbering.receive(at(101), position(1, 9), true),
+        EventAction::Replace(Some(missed))
+    );
+}
+
+#[test]
+fn only_a_heartbeat_that_names_no_later_event_shows_that_all_events_are_known() {
+    let mut numbering = proven_at_20();
+    assert_eq!(numbering.complete_as_of(), None);
+    numbering.receive(at(60), position(21, 8), false);
+    assert!(numbering.is_caught_up(at(100)) && !numbering.is_live());
+    numbering.receive_heartbeat(at(200), heartbeat(22, 199));
+    assert_eq!(numbering.complete_as_of(), None);
+    numbering.receive(at(210), position(22, 8), false);
+    numbering.receive_heartbeat(at(300), heartbeat(22, 299));
+    let complete = Some(CompleteAsOf::by_heartbeat(at(299)));
+    assert_eq!(numbering.complete_as_of(), complete);
+    assert!(numbering.is_live());
+    numbering.connection_closed(false);
+    numbering.connection_opened(at(8_000));
+    numbering.receive(at(8_001), position(22, 8), false);
+    assert!(numbering.is_caught_up(at(8_100)) && !numbering.is_live());
+    assert_eq!(numbering.complete_as_of(), complete);
+}
+
 #[test]
 fn a_restarted_coordinator_past_the_last_number_is_detected_by_the_hash() {
     let mut numbering = proven_at_20();
@@ -92,7 +142,7 @@
     numbering.connection_closed(false);
     numbering.connection_opened(at(100));
     assert_eq!(
-        numbering.receive_heartbeat(at(1_100)),
+        numbering.receive_heartbeat(at(1_100), heartbeat(20, 1_100)),
         EventAction::Reconnect(ReconnectReason::Nothing)
     );
     assert_eq!(numbering.connection_opened(at(1_200)), 0);
@@ -146,7 +196,7 @@
     assert!(numbering.accept_relayed(at(10), position(22, 1), position(23, 1)));
     assert_eq!(numbering.proof_due(), Some(at(510)));
     assert_eq!(
-        numbering.proof_overdue(at(510)),
+        numbering.proof_overdue(),
         EventAction::Reconnect(ReconnectReason::Nothing)
     );
     assert_eq!(numbering.connection_opened(at(520)), 22);
@@ -304,7 +354,7 @@
     numbering.connection_closed(true);
     numbering.connection_opened(at(2_300));
     assert_eq!(
-        numbering.receive_heartbeat(at(3_000)),
+        numbering.receive_heartbeat(at(3_000), heartbeat(20, 3_000)),
         EventAction::Reconnect(ReconnectReason::Nothing)
     );
     assert_eq!(numbering.connection_opened(at(3_010)), 0);
@@ -323,7 +373,7 @@
     assert_eq!(numbering.connection_opened(at(2_400)), 19);
     assert_eq!(numbering.proof_due(), Some(at(2_900)));
     assert_eq!(
-        numbering.proof_overdue(at(2_900)),
+        numbering.proof_overdue(),
         EventAction::Reconnect(ReconnectReason::Nothing)
     );
     assert_eq!(numbering.connection_opened(at(2_910)), 0);
--- a/crates/flaxdeck-recovery/tests/numbering_model.rs
+++ b/crates/flaxdeck-recovery/tests/numbering_model.rs
@@ -12,7 +12,7 @@
 
 use flaxdeck::{CellId, Endpoint, Health, HostId, Role, Time};
 use flaxdeck_recovery::EventPosition;
-use flaxdeck_recovery::numbering::{EventAction, Numbering};
+use flaxdeck_recovery::numbering::{EventAction, Heartbeat, Numbering};
 use flaxdeck_recovery::unconfirmed::UnconfirmedEndpoints;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -239,7 +239,7 @@
         }
         let now = time(ms);
         if self.numbering.proof_due().is_some_and(|by| now >= by) {
-            let _ = self.numbering.proof_overdue(now);
+            let _ = self.numbering.proof_overdue();
             (self.connection, self.reconnect_at) = (None, ms + STEP_MS);
         } else if closed || timed_out {
             self.numbering.connection_closed(timed_out);
@@ -269,7 +269,13 @@
         let now = time(ms);
         for event in arrived {
             let action = match &event {
-                None => self.numbering.receive_heartbeat(now),
+                None => {
+                    let heartbeat = Heartbeat {
+                        number: self.numbering.last().number,
+                        sent: now,
+                    };
+                    self.numbering.receive_heartbeat(now, heartbeat)
+                }
                 Some(event) => self
                     .numbering
                     .receive(now, event.position, event.is_full_list),
@@ -382,7 +388,7 @@
                 .connection
                 .as_ref()
                 .is_some_and(|connection| connection.run == coordinator.run && !connection.is_hung);
-            let current = is_connected && instance.numbering.is_current(now);
+            let current = is_connected && instance.numbering.is_caught_up(now);
             for host in 0..HOSTS {
                 let long =
                     withdrawn_since[host].is_some_and(|since| ms >= since + 3 * MAX_DELIVERY_MS);
--- a/crates/flaxdeck-recovery/tests/relayed_before_proof.rs
+++ b/crates/flaxdeck-recovery/tests/relayed_before_proof.rs
@@ -52,9 +52,9 @@
         numbering.receive(at(3), position(20), false),
         EventAction::Skip
     );
-    let due = numbering.proof_due().unwrap();
+    assert!(numbering.proof_due().is_some());
     assert_eq!(
-        numbering.proof_overdue(due),
+        numbering.proof_overdue(),
         EventAction::Reconnect(ReconnectReason::Nothing),
         "the coordinator has no event after 20"
     );
--- a/src/decision/staleness.rs
+++ b/src/decision/staleness.rs
@@ -3,18 +3,18 @@
 //! By the protocol an event is in force some time after it happened, whether or not it has arrived. A host may have begun
 //! to drain, or an object may have been purged, at any time since the coordinator was last heard.
 
-use crate::{Decisions, Span, Time};
+use crate::{CompleteAsOf, Decisions, Span, Time};
 
 use super::DecisionEngine;
 use super::constants::{AGE_ROUNDING, MAX_EVENT_DELAY};
 
 impl DecisionEngine {
-    /// Notes that all events are known here that the coordinator had at that time. Before the first call nothing
+    /// Notes that all events are known here that the coordinator had as of that time. Before the first call nothing
     /// expires.
-    pub fn events_confirmed(&mut self, now: Time, at: Time) -> Decisions {
+    pub fn events_confirmed(&mut self, now: Time, as_of: CompleteAsOf) -> Decisions {
         self.now = now;
         let was_valid = self.list_is_valid();
-        self.events_confirmed_at = self.events_confirmed_at.max(Some(at));
+        self.events_confirmed_at = self.events_confirmed_at.max(Some(as_of.time()));
         if !was_valid {
             self.ready.extend(self.requests.keys().copied());
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! that run each request in a task of its own. Their input and output types are re-exported at the root of the crate.
 
 mod attempt;
+mod coordinator_knowledge;
 pub mod decision;
 mod decisions;
 mod deployment;
@@ -17,6 +18,7 @@
 mod time;
 
 pub use attempt::{Attempt, AttemptEnded, AttemptOutcome, Cancel, Clearance, FillOutcome};
+pub use coordinator_knowledge::{CaughtUpAt, CompleteAsOf, CoordinatorKnowledge};
 pub use decisions::Decisions;
 pub use deployment::DeploymentTerms;
 pub use endpoint::{Endpoint, Health, ListKind, LoadReport, Role};
--- a/src/polled.rs
+++ b/src/polled.rs
@@ -8,9 +8,9 @@
 
 use crate::decision::DecisionEngine;
 use crate::{
-    Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, Clearance, Decisions, DeploymentTerms,
-    Endpoint, Final, GroupId, ListKind, ObjectId, Observation, PeerHints, PossibleRun, Request,
-    RequestId, Sampled, Span, Time,
+    Attempt, AttemptEnded, AttemptIndex, AttemptOutcome, Clearance, CompleteAsOf, Decisions,
+    DeploymentTerms, Endpoint, Final, GroupId, ListKind, ObjectId, Observation, PeerHints,
+    PossibleRun, Request, RequestId, Sampled, Span, Time,
 };
 
 /// An event that the caller reports.
@@ -37,11 +37,8 @@
     ClientLeft(RequestId),
     /// Hints of other dispatchers have arrived.
     PeerHints(PeerHints),
-    /// All events are known that the coordinator had at the given time.
-    EventsConfirmed {
-        /// That time.
-        at: Time,
-    },
+    /// All events are known that the coordinator had as of the given time.
+    EventsConfirmed(CompleteAsOf),
     /// The process ends at the given time.
     ShutdownAt(Time),
 }
@@ -116,7 +113,7 @@
                 self.engine.attempt_ended(now, ended)
             }
             Input::PeerHints(hints) => self.engine.apply_peer_hints(now, hints),
-            Input::EventsConfirmed { at } => self.engine.events_confirmed(now, at),
+            Input::EventsConfirmed(as_of) => self.engine.events_confirmed(now, as_of),
             Input::ShutdownAt(ends) => self.engine.shut_down_at(now, ends),
             Input::ClientLeft(request) => {
                 self.finish(request);
--- a/tests/staleness.rs
+++ b/tests/staleness.rs
@@ -10,7 +10,7 @@
 mod fake;
 
 use fake::{Fake, default_hosts, terms};
-use flaxdeck::{AttemptIndex, AttemptOutcome, FillOutcome, Final, Span, Time};
+use flaxdeck::{AttemptIndex, AttemptOutcome, CompleteAsOf, FillOutcome, Final, Span, Time};
 
 /// When an event is in force by the protocol, and the graces of [`terms`] after it.
 const MAX_EVENT_DELAY_MS: u64 = 7000;
@@ -25,7 +25,9 @@
 }
 
 fn hear(fake: &mut Fake) {
-    let decisions = fake.engine.events_confirmed(fake.now, fake.now);
+    let decisions = fake
+        .engine
+        .events_confirmed(fake.now, CompleteAsOf::by_heartbeat(fake.now));
     assert!(decisions.finals.is_empty());
 }
 
