--- a/crates/flaxdeck-dispatcher/src/routing/control_client/delivery.rs
+++ b/crates/flaxdeck-dispatcher/src/routing/control_client/delivery.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use flaxdeck::polled::Input;
-use flaxdeck::{CompleteAsOf, GroupId, ObjectId, Time};
+use flaxdeck::{CaughtUpAt, GroupId, ObjectId, Time};
 use flaxdeck_channel::messages::FromForwarder;
 use flaxdeck_channel::watch::Event;
 use flaxdeck_control::membership::PlannerId;
@@ -204,11 +204,11 @@
         let Some(events) = decode_all(&batch.events, &router.names) else {
             return self.reject_unreadable(subscription, now, after);
         };
-        let complete_at = subscription.complete_as_of().map(CompleteAsOf::time);
+        let caught_up_at = subscription.caught_up_at().map(CaughtUpAt::time);
         let follows = self
             .numbering
             .borrow_mut()
-            .accept_batch(now, after, upto, complete_at);
+            .accept_batch(now, after, upto, caught_up_at);
         if !follows {
             return subscription.reset_position(now, after);
         }
--- a/crates/flaxdeck-recovery/src/numbering.rs
+++ b/crates/flaxdeck-recovery/src/numbering.rs
@@ -9,6 +9,7 @@
 mod action;
 mod connection;
 mod peers;
+mod progress;
 mod recent_events;
 
 use flaxdeck::{CompleteAsOf, Span, Time};
@@ -18,10 +19,6 @@
 pub use recent_events::MAX_RECENT_EVENTS;
 use recent_events::RecentEvents;
 
-/// Time without further events after which the instance counts as caught up. That is a guess, as a burst may stall for
-/// longer: only a heartbeat shows that the instance is complete.
-const CAUGHT_UP_AFTER_IDLE: Span = Span::from_ms(30);
-
 /// Time within which the coordinator has to send the last known event. It sends it at once if it has it, so if nothing
 /// comes within the time of a slow round trip and a preceding burst, the coordinator lacks the event; its heartbeat
 /// would show that only a second later. The same limit applies to events that peers relayed first, as a working
@@ -39,7 +36,8 @@
     connection: Option<Connection>,
     /// The next connection requests all events, beginning with a full list.
     requests_all: bool,
-    /// Since when events may be missed if the numbering changes. None if the state is only that of the configuration.
+    /// When this instance last received an event or a heartbeat of the numbering. None if it never did in this run, so
+    /// that its state is only that of the configuration.
     confirmed_at: Option<Time>,
     /// As of when a heartbeat of this run has shown that all events are known.
     complete_as_of: Option<CompleteAsOf>,
@@ -98,16 +96,12 @@
         self.last
     }
 
-    /// Returns since when events may be missed if the numbering changes; none if only the configuration is known.
+    /// Returns when this instance last received an event or a heartbeat of the numbering; none if it never did in this
+    /// run.
     pub fn confirmed_at(&self) -> Option<Time> {
         self.confirmed_at
     }
 
-    /// Returns as of when a heartbeat of this run has shown that all events are known.
-    pub fn complete_as_of(&self) -> Option<CompleteAsOf> {
-        self.complete_as_of
-    }
-
     /// Records that a connection was opened. Returns the number after which to request events.
     pub fn connection_opened(&mut self, now: Time) -> u64 {
         let requested_after = if self.trusts_numbers {
@@ -169,9 +163,8 @@
             EventAction::Reconnect(_) => self.connection = None,
             EventAction::Skip => {}
         }
-        // An event shows that those before it are known, but nothing of those that follow.
         if self.is_proven() {
-            self.confirmed_at.get_or_insert(now);
+            self.confirmed_at = Some(now);
         }
         action
     }
@@ -304,32 +297,6 @@
         self.last_event_missing()
     }
 
-    /// Handles a heartbeat, which is an empty frame. On a proven connection it shows that all events are known, unless
-    /// it names a later one. On an unproven connection it means that the coordinator lacks the last known event, and
-    /// the connection has to be closed.
-    pub fn receive_heartbeat(&mut self, now: Time, heartbeat: Heartbeat) -> EventAction {
-        let Some(connection) = &mut self.connection else {
-            return EventAction::Skip;
-        };
-        connection.last_received = now;
-        if !connection.is_proven {
-            return self.last_event_missing();
-        }
-        self.may_be_hung = false;
-        if heartbeat.number <= self.last.number {
-            connection.is_live = true;
-            self.note_complete(heartbeat.sent);
-        }
-        EventAction::Skip
-    }
-
-    fn note_complete(&mut self, as_of: Time) {
-        self.confirmed_at = self.confirmed_at.max(Some(as_of));
-        self.complete_as_of = self
-            .complete_as_of
-            .max(Some(CompleteAsOf::by_heartbeat(as_of)));
-    }
-
     /// Closes a connection on which the coordinator lacks the last known event.
     fn last_event_missing(&mut self) -> EventAction {
         // If this connection already requested all events, the coordinator has no list yet. Reconnecting without a
@@ -356,29 +323,4 @@
             .as_ref()
             .is_some_and(|connection| connection.is_proven)
     }
-
-    /// Returns whether a heartbeat on the current connection has shown that all events were known, so that later ones
-    /// arrive as they happen.
-    pub fn is_live(&self) -> bool {
-        self.connection
-            .as_ref()
-            .is_some_and(|connection| connection.is_live)
-    }
-
-    /// Returns whether no further event seems to be on its way: the connection is proven and has been idle for long
-    /// enough. This is a guess.
-    pub fn is_caught_up(&self, now: Time) -> bool {
-        self.connection.as_ref().is_some_and(|connection| {
-            connection.is_proven && now.since(connection.last_received) >= CAUGHT_UP_AFTER_IDLE
-        })
-    }
-
-    /// Returns when [`Numbering::is_caught_up`] becomes true if nothing more is received; none on an unproven
-    /// connection.
-    pub fn caught_up_at(&self) -> Option<Time> {
-        self.connection
-            .as_ref()
-            .filter(|connection| connection.is_proven)
-            .map(|connection| connection.last_received + CAUGHT_UP_AFTER_IDLE)
-    }
 }
--- a/crates/flaxdeck-recovery/src/numbering/action.rs
+++ b/crates/flaxdeck-recovery/src/numbering/action.rs
@@ -32,8 +32,7 @@
 /// applied.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct MissedPeriod {
-    /// As of when the instance last had all events of the previous numbering, or when it received the first one if it
-    /// never had all; none if it received none.
+    /// When the instance last received an event or a heartbeat of the previous numbering; none if it never did.
     pub since: Option<Time>,
     /// A heartbeat on the last proven connection showed that all events were known, and the connection neither timed
     /// out nor was paused on this side, so it delivered all events until it closed.
--- a/crates/flaxdeck-recovery/src/numbering/peers.rs
+++ b/crates/flaxdeck-recovery/src/numbering/peers.rs
@@ -19,8 +19,8 @@
         }
         self.apply(now, position);
         // The peer follows the coordinator, so this instance now knows more than its configuration. If the numbering
-        // changes later, events may have been missed since.
-        self.confirmed_at.get_or_insert(now);
+        // changes later, events may have been missed since now.
+        self.confirmed_at = Some(now);
         if self.is_proven() && !self.trusts_numbers {
             self.awaited.get_or_insert(AwaitedEvents {
                 first: position.number,
@@ -36,15 +36,15 @@
         now >= self.peers_distrusted_until
     }
 
-    /// Handles a batch of all events after `after` up to `last`, from a peer that had all the coordinator's events at
-    /// `complete_at`, if known. Returns whether to apply the batch: not if it does not follow the last known event, and
+    /// Handles a batch of all events after `after` up to `last`, from a peer that seemed to have all the coordinator's
+    /// events at `caught_up_at`, if known. Returns whether to apply the batch: not if it does not follow the last known event, and
     /// not while peers are distrusted after the coordinator contradicted them.
     pub fn accept_batch(
         &mut self,
         now: Time,
         after: EventPosition,
         last: EventPosition,
-        complete_at: Option<Time>,
+        caught_up_at: Option<Time>,
     ) -> bool {
         let follows = after == self.last && last.number >= after.number;
         if !follows || !self.trusts_peers(now) {
@@ -53,7 +53,7 @@
         if last != after {
             self.apply(now, last);
         }
-        self.confirmed_at = self.confirmed_at.max(complete_at);
+        self.confirmed_at = self.confirmed_at.max(caught_up_at);
         true
     }
 
